--- /dev/null
+++ b/common/src/main/kotlin/hawthorncrank/common/Reducer.kt
@@ -0,0 +1,14 @@
+package hawthorncrank.common
+
+/**
+ * The decision core of a process: a pure function from state, event and time to the next state and the effects that the
+ * process then carries out. It reads no clock, draws no randomness and does no input or output, so a recorded history
+ * replays to the same decisions.
+ */
+fun interface Reducer<State, Event, Effect> {
+    fun reduce(
+        state: State,
+        event: Event,
+        now: Long,
+    ): Transition<State, Effect>
+}
--- /dev/null
+++ b/common/src/main/kotlin/hawthorncrank/common/Settings.kt
@@ -0,0 +1,55 @@
+package hawthorncrank.common
+
+import com.akuleshov7.ktoml.Toml
+import com.akuleshov7.ktoml.TomlInputConfig
+import com.akuleshov7.ktoml.exceptions.TomlDecodingException
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** Reads a TOML settings file. Unknown keys are errors, so that a misspelt setting never passes for its default. */
+fun <T> loadSettings(
+    file: Path,
+    deserializer: DeserializationStrategy<T>,
+): Result<T, SettingsFailure> {
+    val text =
+        try {
+            file.readText()
+        } catch (failure: IOException) {
+            return Err(SettingsFailure.UnreadableFile(file.toString(), failure.javaClass.simpleName))
+        }
+    return decodeSettings(file.toString(), text, deserializer)
+}
+
+/** Decodes settings that are already in memory; [file] names them in errors. */
+fun <T> decodeSettings(
+    file: String,
+    text: String,
+    deserializer: DeserializationStrategy<T>,
+): Result<T, SettingsFailure> =
+    try {
+        Ok(toml.decodeFromString(deserializer, text))
+    } catch (failure: TomlDecodingException) {
+        Err(describe(file, failure.message.orEmpty()))
+    } catch (failure: SerializationException) {
+        Err(describe(file, failure.message.orEmpty()))
+    } catch (failure: IllegalArgumentException) {
+        Err(describe(file, failure.message.orEmpty()))
+    }
+
+private fun describe(
+    file: String,
+    detail: String,
+): SettingsFailure {
+    val oneLine = detail.lineSequence().joinToString(" ") { it.trim() }
+    val unknownKey = UNKNOWN_KEY.find(oneLine) ?: return SettingsFailure.MalformedFile(file, oneLine)
+    return SettingsFailure.UnknownKey(file, unknownKey.groupValues[1])
+}
+
+private val UNKNOWN_KEY = Regex("""(?i)unknown key[^<\["']*[<\["']([^>\]"']+)""")
+private val toml = Toml(inputConfig = TomlInputConfig(ignoreUnknownNames = false))
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
@@ -0,0 +1,34 @@
+package hawthorncrank.entry.core
+
+/**
+ * What the control thread knows of a request. [contentDigest] covers organisation, model or path, and body.
+ * [finishBy] is a time of the entry's clock, from the caller's deadline header or the class.
+ */
+data class CallerRequest(
+    val number: Long,
+    val organisation: String,
+    val className: String,
+    val target: RequestTarget,
+    val contentDigest: String,
+    val bodyBytes: Int,
+    val streamed: Boolean,
+    val finishBy: Long?,
+)
+
+/** What a request asks for. */
+sealed interface RequestTarget {
+    /** A model call. It is idempotent. [prefixBlocks] are digests of the growing prompt prefix, shortest first. */
+    data class Model(
+        val model: String,
+        val promptTokens: Int,
+        val maximumTokens: Int?,
+        val prefixBlocks: List<Long>,
+    ) : RequestTarget
+
+    /** A call of a plain service. [idempotencyKey] is present whenever [idempotent] is false. */
+    data class Service(
+        val service: String,
+        val idempotent: Boolean,
+        val idempotencyKey: String?,
+    ) : RequestTarget
+}
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntrySettings.kt
@@ -0,0 +1,10 @@
+package hawthorncrank.entry.core
+
+/** What an entry's own settings say that its decisions depend on. [zoneEntries] includes this entry's name. */
+data class EntrySettings(
+    val name: String,
+    val availabilityZone: String,
+    val region: String,
+    val zoneEntries: List<String>,
+    val randomSeed: Long,
+)
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Measurement.kt
@@ -0,0 +1,36 @@
+package hawthorncrank.entry.core
+
+/** A value for the metrics, taken on the control thread. */
+sealed interface Measurement {
+    /** A request ended. Times are in milliseconds since its arrival. [attained] says whether all class targets held. */
+    data class RequestEnded(
+        val organisation: String,
+        val className: String,
+        val result: RequestResult,
+        val waited: Long,
+        val firstByte: Long?,
+        val total: Long,
+        val tokens: Int,
+        val attained: Boolean,
+    ) : Measurement
+
+    /** Tokens that were generated and reached no caller. */
+    data class TokensWasted(
+        val className: String,
+        val tokens: Int,
+        val reason: CancelReason?,
+    ) : Measurement
+
+    data class QueueLength(
+        val className: String,
+        val requests: Int,
+        val bytes: Long,
+    ) : Measurement
+
+    data class CrossRegionBytes(
+        val organisation: String,
+        val bytes: Long,
+    ) : Measurement
+}
+
+enum class RequestResult { COMPLETED, REFUSED, INTERRUPTED, CALLER_LEFT }
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
@@ -0,0 +1,124 @@
+package hawthorncrank.entry.core
+
+import hawthorncrank.common.Failure
+
+/** Why a caller gets no answer of an upstream. [outcome] is the truth about whether the request ran. */
+sealed interface Refusal : Failure {
+    val status: Int
+    val outcome: StatedOutcome
+    val retryAfterMilliseconds: Long?
+        get() = null
+
+    data class Overloaded(
+        override val retryAfterMilliseconds: Long,
+    ) : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "the class has more work than capacity"
+        override val remedy = "send the request again after the time in Retry-After"
+    }
+
+    data class LimitExceeded(
+        val limit: String,
+        override val retryAfterMilliseconds: Long,
+    ) : Refusal {
+        override val status = 429
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "the organisation's limit on $limit is reached"
+        override val remedy =
+            "send the request again after the time in Retry-After, or ask the operator for a higher limit"
+    }
+
+    data class TooLate(
+        override val retryAfterMilliseconds: Long,
+    ) : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "the answer could not be finished before the deadline"
+        override val remedy = "send the request again after the time in Retry-After or with a later deadline"
+    }
+
+    data class NoUpstream(
+        val target: String,
+    ) : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val retryAfterMilliseconds = 2_000L
+        override val problem = "no upstream for $target can be reached"
+        override val remedy = "send the request again; operators see the upstreams in the status report"
+    }
+
+    data class NotPermitted(
+        val className: String,
+    ) : Refusal {
+        override val status = 403
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "the organisation may not use the class \"$className\""
+        override val remedy = "use one of the organisation's classes, or ask the operator to attach this one"
+    }
+
+    data class Convicted(
+        val contentDigest: String,
+    ) : Refusal {
+        override val status = 422
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "requests with this content ($contentDigest) crashed engines and are refused"
+        override val remedy = "change the request, or ask the operator to lift the conviction"
+    }
+
+    data object ControlUnavailable : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val retryAfterMilliseconds = 3_000L
+        override val problem = "non-idempotent calls need the control group, which has no majority in reach"
+        override val remedy = "send the request again with the same key after the time in Retry-After"
+    }
+
+    data object StillRunning : Refusal {
+        override val status = 409
+        override val outcome = StatedOutcome.UNKNOWN
+        override val retryAfterMilliseconds = 2_000L
+        override val problem = "a call with this key is still running"
+        override val remedy = "send the request again with the same key after the time in Retry-After to get its answer"
+    }
+
+    data object KeyReused : Refusal {
+        override val status = 422
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "this key was used for a request with other content"
+        override val remedy = "use a new Idempotency-Key for a new request"
+    }
+
+    data class OutcomeUnknown(
+        val claimNumber: Long,
+    ) : Refusal {
+        override val status = 502
+        override val outcome = StatedOutcome.UNKNOWN
+        override val problem = "the call was sent to the upstream and its outcome is unknown (claim $claimNumber)"
+        override val remedy = "check with the service whether it ran; the operator can then resolve the claim"
+    }
+
+    data object Interrupted : Refusal {
+        override val status = 502
+        override val outcome = StatedOutcome.UNKNOWN
+        override val problem = "the upstream broke off the answer"
+        override val remedy = "send the request again; it is idempotent"
+    }
+
+    data object Stopping : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val retryAfterMilliseconds = 1_000L
+        override val problem = "this entry is stopping"
+        override val remedy = "send the request again; the load balancer chooses another entry"
+    }
+}
+
+/** What the caller is told in the header Hawthorncrank-Outcome. */
+enum class StatedOutcome(
+    val headerValue: String,
+) {
+    RAN("ran"),
+    NOT_RUN("not-run"),
+    UNKNOWN("unknown"),
+}
--- /dev/null
+++ b/link/src/main/kotlin/hawthorncrank/link/Link.kt
@@ -0,0 +1,18 @@
+package hawthorncrank.link
+
+import hawthorncrank.protocol.LinkRole
+import hawthorncrank.protocol.WireMessage
+
+/**
+ * An authenticated connection between two of the system's own processes. Messages arrive in order or not at all; a link
+ * that is silent for longer than its timeout is closed.
+ */
+interface Link {
+    val peerRole: LinkRole
+    val peerName: String
+
+    /** Queues the message. Returns false, and closes the link, when its outgoing queue is full. */
+    fun send(message: WireMessage): Boolean
+
+    fun close()
+}
--- /dev/null
+++ b/link/src/main/kotlin/hawthorncrank/link/LinkServer.kt
@@ -0,0 +1,6 @@
+package hawthorncrank.link
+
+/** Accepts links until closed. */
+interface LinkServer : AutoCloseable {
+    val port: Int
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/Claim.kt
@@ -0,0 +1,76 @@
+package hawthorncrank.protocol
+
+import kotlinx.serialization.Serializable
+
+/** Names one non-idempotent call for its whole life: the organisation and the key that the caller chose. */
+@Serializable
+data class ClaimKey(
+    val organisation: String,
+    val idempotencyKey: String,
+)
+
+/** The answer of the control group to a claim. Claim numbers rise with every grant and fence later records. */
+@Serializable
+sealed interface ClaimDecision {
+    /** The entry may dispatch the call once under this number. */
+    @Serializable
+    data class Granted(
+        val claimNumber: Long,
+    ) : ClaimDecision
+
+    /** Another attempt holds the claim and has not recorded an outcome. */
+    @Serializable
+    data class HeldByOther(
+        val entry: String,
+        val claimNumber: Long,
+    ) : ClaimDecision
+
+    /** The call has run; this is its recorded answer. */
+    @Serializable
+    data class Finished(
+        val outcome: CallOutcome,
+    ) : ClaimDecision
+
+    /** The key was used for a request with other content. */
+    @Serializable
+    data object DigestMismatch : ClaimDecision
+
+    /** The call was dispatched, and nobody can tell whether it ran. */
+    @Serializable
+    data class OutcomeUnknown(
+        val claimNumber: Long,
+    ) : ClaimDecision
+
+    /** No majority answered in time. The entry must not dispatch and abandons the claim. */
+    @Serializable
+    data object Unavailable : ClaimDecision
+}
+
+/** How a dispatched call ended. */
+@Serializable
+sealed interface CallOutcome {
+    /** The upstream answered; [body] is null when it was too large to keep. */
+    @Serializable
+    data class Answered(
+        val status: Int,
+        val contentType: String,
+        val body: ByteArray?,
+        val bodyDigest: String,
+    ) : CallOutcome {
+        override fun equals(other: Any?): Boolean =
+            other is Answered &&
+                status == other.status &&
+                contentType == other.contentType &&
+                bodyDigest == other.bodyDigest &&
+                body.contentEquals(other.body)
+
+        override fun hashCode(): Int = bodyDigest.hashCode() * 31 + status
+    }
+
+    /** The connection broke after dispatch. */
+    @Serializable
+    data object Unknown : CallOutcome
+}
+
+/** The largest answer body, in bytes, that the control group keeps for resends. */
+const val RECORDED_BODY_LIMIT_BYTES = 16 * 1024
--- /dev/null
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/Configuration.kt
@@ -0,0 +1,103 @@
+package hawthorncrank.protocol
+
+import hawthorncrank.common.ByteSize
+import hawthorncrank.common.Milliseconds
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * The configuration of the whole fleet: what operators change, what the control group versions and what every entry has
+ * in force. It is written in TOML by people and carried in CBOR between processes. Its lists are never modified.
+ */
+@Serializable
+data class Configuration(
+    val classes: List<TrafficClass> = emptyList(),
+    val organisations: List<Organisation> = emptyList(),
+    val upstreams: List<Upstream> = emptyList(),
+    val services: List<ServiceRoute> = emptyList(),
+    @SerialName("weight_store")
+    val weightStore: WeightStore = WeightStore(),
+)
+
+/** A class of traffic. Tier 1 is the highest. Targets that are absent are not measured. */
+@Serializable
+data class TrafficClass(
+    val name: String,
+    val tier: Int,
+    @SerialName("first_token")
+    val firstToken: Milliseconds? = null,
+    @SerialName("between_tokens")
+    val betweenTokens: Milliseconds? = null,
+    @SerialName("finish_by")
+    val finishBy: Milliseconds? = null,
+    @SerialName("floor_slots")
+    val floorSlots: Int = 1,
+    @SerialName("queue_requests")
+    val queueRequests: Int = 500,
+    @SerialName("queue_size")
+    val queueSize: ByteSize = ByteSize(16L shl 20),
+)
+
+/** An organisation: who may use which classes, its weight in fair shares and its limits at each entry. */
+@Serializable
+data class Organisation(
+    val name: String,
+    val region: String,
+    val classes: List<String>,
+    @SerialName("api_key_hashes")
+    val keyHashes: List<String>,
+    val weight: Int = 1,
+    @SerialName("requests_in_flight")
+    val requestsInFlight: Int = 200,
+    @SerialName("requests_per_second")
+    val requestsPerSecond: Int = 100,
+    @SerialName("tokens_per_second")
+    val tokensPerSecond: Int = 20_000,
+)
+
+@Serializable
+enum class UpstreamKind {
+    @SerialName("engine")
+    ENGINE,
+
+    @SerialName("service")
+    SERVICE,
+}
+
+/** A back end. Engines serve [models]; services serve the [ServiceRoute] named in [service]. */
+@Serializable
+data class Upstream(
+    val name: String,
+    val kind: UpstreamKind,
+    val address: String,
+    @SerialName("availability_zone")
+    val availabilityZone: String,
+    val region: String,
+    val models: List<String> = emptyList(),
+    val service: String? = null,
+    val slots: Int = 64,
+    @SerialName("checks_fencing")
+    val checksFencing: Boolean = false,
+    @SerialName("resumes_streams")
+    val resumesStreams: Boolean = false,
+    val leaving: Boolean = false,
+)
+
+/** A plain HTTP service. Calls whose method is not in [idempotentMethods] need an idempotency key. */
+@Serializable
+data class ServiceRoute(
+    val name: String,
+    @SerialName("path_prefix")
+    val pathPrefix: String,
+    @SerialName("class")
+    val className: String,
+    @SerialName("idempotent_methods")
+    val idempotentMethods: List<String> = listOf("GET", "HEAD"),
+)
+
+/** The rate limit of the weight store that all model loads share. */
+@Serializable
+data class WeightStore(
+    @SerialName("loads_per_minute")
+    val loadsPerMinute: Int = 6,
+)
--- /dev/null
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
@@ -0,0 +1,159 @@
+package hawthorncrank.protocol
+
+import kotlinx.serialization.Serializable
+
+/** A question or command of an operator. [credential] is the operator's key in clear, inside the authenticated link. */
+@Serializable
+data class OperatorRequest(
+    val number: Long,
+    val operatorName: String,
+    val credential: String,
+    val command: OperatorCommand,
+) : WireMessage
+
+/** The answer to the request of the same number. */
+@Serializable
+data class OperatorResponse(
+    val number: Long,
+    val answer: OperatorAnswer,
+) : WireMessage
+
+@Serializable
+sealed interface OperatorCommand {
+    @Serializable
+    data object Identity : OperatorCommand
+
+    @Serializable
+    data class FormGroup(
+        val members: List<ReplicaMember>,
+    ) : OperatorCommand
+
+    @Serializable
+    data object Status : OperatorCommand
+
+    @Serializable
+    data object ShowConfiguration : OperatorCommand
+
+    @Serializable
+    data class ProposeConfiguration(
+        val baseVersion: Long,
+        val commandIdentifier: String,
+        val reason: String,
+        val configuration: Configuration,
+    ) : OperatorCommand
+
+    @Serializable
+    data class PlanIntent(
+        val sentence: String,
+    ) : OperatorCommand
+
+    @Serializable
+    data class ConfirmPlan(
+        val planNumber: Long,
+        val commandIdentifier: String,
+    ) : OperatorCommand
+
+    @Serializable
+    data class History(
+        val newest: Int,
+    ) : OperatorCommand
+
+    @Serializable
+    data class Explain(
+        val requestNumber: String,
+    ) : OperatorCommand
+
+    @Serializable
+    data class Drain(
+        val upstream: String,
+        val draining: Boolean,
+        val commandIdentifier: String,
+    ) : OperatorCommand
+
+    @Serializable
+    data class LiftConviction(
+        val contentDigest: String,
+        val commandIdentifier: String,
+    ) : OperatorCommand
+
+    @Serializable
+    data class ResolveClaim(
+        val key: ClaimKey,
+        val ran: Boolean,
+        val commandIdentifier: String,
+    ) : OperatorCommand
+
+    @Serializable
+    data class OrderEngine(
+        val upstream: String,
+        val order: EngineOrder,
+        val commandIdentifier: String,
+    ) : OperatorCommand
+}
+
+@Serializable
+sealed interface EngineOrder {
+    @Serializable
+    data class LoadModel(
+        val model: String,
+    ) : EngineOrder
+
+    @Serializable
+    data class UnloadModel(
+        val model: String,
+    ) : EngineOrder
+
+    @Serializable
+    data class ChangeRole(
+        val role: String,
+    ) : EngineOrder
+}
+
+@Serializable
+sealed interface OperatorAnswer {
+    /** The command was committed, as [version] where it made a configuration. */
+    @Serializable
+    data class Accepted(
+        val version: Long,
+        val lines: List<String>,
+    ) : OperatorAnswer
+
+    /** Another change was accepted on the same base. */
+    @Serializable
+    data class Conflict(
+        val currentVersion: Long,
+        val changedBy: String,
+        val changedAtWallTime: Long,
+    ) : OperatorAnswer
+
+    /** Lines to print. */
+    @Serializable
+    data class Report(
+        val lines: List<String>,
+    ) : OperatorAnswer
+
+    @Serializable
+    data class CurrentConfiguration(
+        val version: Long,
+        val configuration: Configuration,
+    ) : OperatorAnswer
+
+    @Serializable
+    data class ReplicaIdentity(
+        val member: ReplicaMember,
+        val formed: Boolean,
+    ) : OperatorAnswer
+
+    /** Nothing was changed. */
+    @Serializable
+    data class Refused(
+        val problem: String,
+        val remedy: String,
+    ) : OperatorAnswer
+
+    /** The command may or may not have been committed; resending it with its identifier gives the answer. */
+    @Serializable
+    data class Uncertain(
+        val remedy: String,
+    ) : OperatorAnswer
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
@@ -0,0 +1,125 @@
+package hawthorncrank.protocol
+
+import kotlinx.serialization.Serializable
+
+/** A control replica: its name in the settings, the identity of its data folder, and the address of its link port. */
+@Serializable
+data class ReplicaMember(
+    val name: String,
+    val identity: String,
+    val address: String,
+)
+
+/** One replicated record. [payload] is opaque to the consensus module. */
+@Serializable
+class LogRecord(
+    val index: Long,
+    val term: Long,
+    val kind: RecordKind,
+    val payload: ByteArray,
+) {
+    override fun equals(other: Any?): Boolean =
+        other is LogRecord &&
+            index == other.index &&
+            term == other.term &&
+            kind == other.kind &&
+            payload.contentEquals(other.payload)
+
+    override fun hashCode(): Int = (index * 31 + term).hashCode()
+
+    override fun toString(): String = "LogRecord(index=$index, term=$term, kind=$kind, ${payload.size} bytes)"
+}
+
+@Serializable
+enum class RecordKind { COMMAND, MEMBERSHIP, NO_OPERATION }
+
+/** A message between control replicas, sealed by group and sender so that a replica outside the group is ignored. */
+@Serializable
+data class ReplicaEnvelope(
+    val group: String,
+    val sender: ReplicaMember,
+    val term: Long,
+    val message: ReplicaMessage,
+) : WireMessage
+
+@Serializable
+sealed interface ReplicaMessage {
+    @Serializable
+    data class VoteRequest(
+        val preliminary: Boolean,
+        val lastIndex: Long,
+        val lastTerm: Long,
+    ) : ReplicaMessage
+
+    @Serializable
+    data class VoteAnswer(
+        val preliminary: Boolean,
+        val granted: Boolean,
+    ) : ReplicaMessage
+
+    /** [round] rises with every broadcast of the leader and confirms reads. */
+    @Serializable
+    data class Append(
+        val previousIndex: Long,
+        val previousTerm: Long,
+        val records: List<LogRecord>,
+        val committedIndex: Long,
+        val round: Long,
+    ) : ReplicaMessage
+
+    /** [matchIndex] is synced when [accepted]; otherwise it hints where to continue. */
+    @Serializable
+    data class AppendAnswer(
+        val accepted: Boolean,
+        val matchIndex: Long,
+        val round: Long,
+    ) : ReplicaMessage
+
+    @Serializable
+    class InstallSnapshot(
+        val lastIndex: Long,
+        val lastTerm: Long,
+        val membership: ByteArray,
+        val offset: Long,
+        val bytes: ByteArray,
+        val last: Boolean,
+        val round: Long,
+    ) : ReplicaMessage
+
+    @Serializable
+    data class SnapshotAnswer(
+        val lastIndex: Long,
+        val nextOffset: Long,
+        val round: Long,
+    ) : ReplicaMessage
+
+    /** A replica with a new identity asks to be admitted in place of the lost one of the same name. */
+    @Serializable
+    data object JoinRequest : ReplicaMessage
+
+    /** A follower passes a client's command to the leader. */
+    @Serializable
+    class ForwardedCommand(
+        val ticket: Long,
+        val payload: ByteArray,
+    ) : ReplicaMessage
+
+    /** [index] is where the command was committed, or null when the sender is not the leader or lost its term. */
+    @Serializable
+    data class ForwardedAnswer(
+        val ticket: Long,
+        val index: Long?,
+    ) : ReplicaMessage
+
+    /** Asks the leader for an index that a linearizable read must have applied. */
+    @Serializable
+    data class ReadIndexRequest(
+        val ticket: Long,
+    ) : ReplicaMessage
+
+    @Serializable
+    data class ReadIndexAnswer(
+        val ticket: Long,
+        val index: Long?,
+    ) : ReplicaMessage
+}
