Add a thin entry reducer: configuration, attempts, refusals and graceful stop

The entry program needs a working reducer to be written against. This one applies confirmed configurations, starts an attempt on the eligible upstream with the fewest requests in flight, and terminates when nothing is in flight after a stop.

--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryReducer.kt
@@ -0,0 +1,23 @@
+package hawthorncrank.entry.core
+
+import hawthorncrank.common.Reducer
+import hawthorncrank.common.Transition
+import hawthorncrank.entry.core.internal.Reduction
+import hawthorncrank.entry.core.internal.dispatch
+
+/**
+ * Creates the decision core of an entry. The process feeds it every event in arrival order and carries out the effects
+ * of each transition in their order.
+ */
+fun entryReducer(settings: EntrySettings): Reducer<EntryState, EntryEvent, EntryEffect> =
+    Reducer { state, event, now ->
+        val reduction = Reduction(state, now, settings)
+        reduction.dispatch(event)
+        Transition(reduction.state, reduction.effects())
+    }
+
+/** The state of an entry that has just started: no configuration, no requests, not ready. */
+fun initialEntryState(settings: EntrySettings): EntryState {
+    require(settings.name in settings.zoneEntries) { "zoneEntries must include this entry's own name" }
+    return EntryState()
+}
