Hash API and operator keys with salted PBKDF2

Keys must not stand in clear in settings or in the replicated configuration. KeyHash writes pbkdf2$ITERATIONS$SALT$HASH in Base64 and compares in constant time. The iteration count stands in the text, so a later default leaves stored hashes valid; counts above 2,000,000 are refused because one such hash would stall the process that verifies it. A plain digest was ruled out: API keys may be short.

--- /dev/null
+++ b/common/src/main/kotlin/hawthorncrank/common/KeyHash.kt
@@ -0,0 +1,88 @@
+package hawthorncrank.common
+
+import java.security.MessageDigest
+import java.security.SecureRandom
+import java.util.Base64
+import javax.crypto.SecretKeyFactory
+import javax.crypto.spec.PBEKeySpec
+
+/**
+ * Salted hashes of API keys and operator keys, so that neither settings nor the configuration holds a usable key. The
+ * text form is `pbkdf2$ITERATIONS$SALT$HASH` with salt and hash in Base64; it names its own iteration count, so a later
+ * default does not invalidate stored hashes.
+ *
+ * [verify] takes tens of milliseconds at [DEFAULT_ITERATIONS]. A caller on the request path caches its answer.
+ */
+object KeyHash {
+    const val DEFAULT_ITERATIONS = 120_000
+
+    /** Hashes [key] under a fresh random salt. */
+    fun hash(
+        key: String,
+        iterations: Int = DEFAULT_ITERATIONS,
+    ): String {
+        require(key.isNotEmpty()) { "a key must not be empty" }
+        val salt = ByteArray(SALT_BYTES).also(SecureRandom()::nextBytes)
+        val encoder = Base64.getEncoder()
+        val hash = derive(key, salt, iterations)
+        return "$SCHEME$$iterations$${encoder.encodeToString(salt)}$${encoder.encodeToString(hash)}"
+    }
+
+    /** Whether [text] has the form that [hash] produces and an iteration count within the accepted range. */
+    fun isWellFormed(text: String): Boolean = parse(text) != null
+
+    /** Compares in constant time. A malformed [text] matches no key. */
+    fun verify(
+        key: String,
+        text: String,
+    ): Boolean {
+        val parsed = parse(text) ?: return false
+        if (key.isEmpty()) return false
+        return MessageDigest.isEqual(derive(key, parsed.salt, parsed.iterations), parsed.hash)
+    }
+
+    private fun parse(text: String): ParsedHash? {
+        val parts = text.split('$')
+        if (parts.size != PARTS || parts[0] != SCHEME) return null
+        val iterations = parts[1].toIntOrNull()?.takeIf { it in MINIMUM_ITERATIONS..MAXIMUM_ITERATIONS } ?: return null
+        val salt = decode(parts[2])?.takeIf { it.size >= MINIMUM_SALT_BYTES } ?: return null
+        val hash = decode(parts[3])?.takeIf { it.size == HASH_BYTES } ?: return null
+        return ParsedHash(iterations, salt, hash)
+    }
+
+    private fun decode(text: String): ByteArray? =
+        try {
+            Base64.getDecoder().decode(text)
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+
+    private fun derive(
+        key: String,
+        salt: ByteArray,
+        iterations: Int,
+    ): ByteArray {
+        val specification = PBEKeySpec(key.toCharArray(), salt, iterations, HASH_BYTES * Byte.SIZE_BITS)
+        try {
+            return SecretKeyFactory.getInstance("PBKDF2WithHmacSHA256").generateSecret(specification).encoded
+        } finally {
+            specification.clearPassword()
+        }
+    }
+
+    private class ParsedHash(
+        val iterations: Int,
+        val salt: ByteArray,
+        val hash: ByteArray,
+    )
+
+    private const val SCHEME = "pbkdf2"
+    private const val PARTS = 4
+    private const val SALT_BYTES = 16
+    private const val MINIMUM_SALT_BYTES = 8
+    private const val HASH_BYTES = 32
+    private const val MINIMUM_ITERATIONS = 1
+
+    // A hash that names more iterations would let a configuration stall every entry on its first request.
+    private const val MAXIMUM_ITERATIONS = 2_000_000
+}
