--- /dev/null
+++ b/link/src/main/kotlin/hawthorncrank/link/internal/DialingClient.kt
@@ -0,0 +1,92 @@
+package hawthorncrank.link.internal
+
+import hawthorncrank.common.EventLog
+import hawthorncrank.link.LinkClient
+import hawthorncrank.link.LinkEventCode
+import hawthorncrank.link.LinkListener
+import hawthorncrank.link.LinkSettings
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+
+internal class DialingClient(
+    private val settings: LinkSettings,
+    private val addresses: List<InetSocketAddress>,
+    listener: LinkListener,
+    private val eventLog: EventLog,
+) : LinkClient {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val opening = LinkOpening(settings, listener, eventLog)
+    private var position = 0
+
+    fun start() {
+        scope.launch { keepLinked() }
+    }
+
+    private suspend fun keepLinked() {
+        var wait = SHORTEST_WAIT_MILLISECONDS
+        while (true) {
+            val linked = runFirstLink()
+            wait = if (linked) SHORTEST_WAIT_MILLISECONDS else minOf(wait * 2, LONGEST_WAIT_MILLISECONDS)
+            delay(wait)
+        }
+    }
+
+    /** After a loss the next round starts behind the lost address, so that a replica of no use is left. */
+    private suspend fun runFirstLink(): Boolean {
+        repeat(addresses.size) {
+            val address = addresses[position]
+            position = (position + 1) % addresses.size
+            if (runLink(address)) return true
+        }
+        return false
+    }
+
+    /** Returns whether a link was open for a while; its end is an ordinary event. */
+    private suspend fun runLink(address: InetSocketAddress): Boolean {
+        try {
+            val socket =
+                withTimeout(
+                    CONNECT_TIMEOUT_MILLISECONDS,
+                ) { aSocket(selector).tcp().connect(address) { noDelay = true } }
+            socket.use { opening.asClient(it).run() }
+            return true
+        } catch (failure: TimeoutCancellationException) {
+            refused(address, failure)
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            refused(address, failure)
+        }
+        return false
+    }
+
+    private fun refused(
+        address: InetSocketAddress,
+        failure: Exception,
+    ) {
+        if (failure !is HandshakeException) return
+        eventLog.record(LinkEventCode.HANDSHAKE_REFUSED, "peer" to address, "reason" to failure.message)
+    }
+
+    override fun close() {
+        scope.cancel()
+        selector.close()
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
+        const val SHORTEST_WAIT_MILLISECONDS = 100L
+        const val LONGEST_WAIT_MILLISECONDS = 2_000L
+    }
+}
--- /dev/null
+++ b/link/src/main/kotlin/hawthorncrank/link/internal/ListeningServer.kt
@@ -0,0 +1,104 @@
+package hawthorncrank.link.internal
+
+import hawthorncrank.common.EventLog
+import hawthorncrank.link.LinkEventCode
+import hawthorncrank.link.LinkListener
+import hawthorncrank.link.LinkServer
+import hawthorncrank.link.LinkSettings
+import hawthorncrank.protocol.LinkRole
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.port
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import java.util.concurrent.atomic.AtomicInteger
+
+internal class ListeningServer private constructor(
+    private val selector: SelectorManager,
+    private val socket: ServerSocket,
+    private val opening: LinkOpening,
+    private val eventLog: EventLog,
+    private val acceptedRoles: Set<LinkRole>,
+) : LinkServer {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val unauthenticated = AtomicInteger()
+
+    override val port: Int = socket.port
+
+    private fun start() {
+        scope.launch { acceptConnections() }
+    }
+
+    private suspend fun acceptConnections() {
+        while (true) {
+            val connection = socket.accept()
+            if (unauthenticated.incrementAndGet() > UNAUTHENTICATED_LIMIT) {
+                unauthenticated.decrementAndGet()
+                connection.close()
+                continue
+            }
+            scope.launch { serve(connection) }
+        }
+    }
+
+    private suspend fun serve(connection: Socket) {
+        try {
+            authenticate(connection)?.run()
+        } finally {
+            connection.close()
+        }
+    }
+
+    private suspend fun authenticate(connection: Socket): SocketLink? =
+        try {
+            opening.asServer(connection, acceptedRoles)
+        } catch (failure: CancellationException) {
+            refused(failure)
+        } catch (failure: Exception) {
+            refused(failure)
+        } finally {
+            unauthenticated.decrementAndGet()
+        }
+
+    private fun refused(failure: Exception): SocketLink? {
+        eventLog.record(LinkEventCode.HANDSHAKE_REFUSED, "reason" to (failure.message ?: failure.javaClass.simpleName))
+        return null
+    }
+
+    override fun close() {
+        scope.cancel()
+        socket.close()
+        selector.close()
+    }
+
+    companion object {
+        /** Bounds what connections without the fleet key can occupy. */
+        private const val UNAUTHENTICATED_LIMIT = 256
+
+        suspend fun start(
+            settings: LinkSettings,
+            address: InetSocketAddress,
+            listener: LinkListener,
+            eventLog: EventLog,
+            acceptedRoles: Set<LinkRole>,
+        ): ListeningServer {
+            val selector = SelectorManager(Dispatchers.IO)
+            val socket =
+                try {
+                    aSocket(selector).tcp().bind(address) { reuseAddress = true }
+                } catch (failure: Exception) {
+                    selector.close()
+                    throw failure
+                }
+            val opening = LinkOpening(settings, listener, eventLog)
+            return ListeningServer(selector, socket, opening, eventLog, acceptedRoles).also { it.start() }
+        }
+    }
+}
--- /dev/null
+++ b/link/src/test/kotlin/hawthorncrank/link/LinkTest.kt
@@ -0,0 +1,135 @@
+package hawthorncrank.link
+
+import com.github.michaelbull.result.unwrap
+import com.github.michaelbull.result.unwrapError
+import hawthorncrank.common.EventLog
+import hawthorncrank.protocol.LinkRole
+import hawthorncrank.protocol.ZoneMessage
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+class LinkTest {
+    private val refusals = LinkedBlockingQueue<String>()
+    private val eventLog =
+        EventLog { event, fields ->
+            if (event == LinkEventCode.HANDSHAKE_REFUSED) refusals.add(fields["reason"].toString())
+        }
+    private val atServer = RecordingListener()
+    private val atClient = RecordingListener()
+
+    @Test
+    fun `messages arrive whole and in order in both directions`() =
+        withServer { server ->
+            clientOf(server).use {
+                val client = atClient.awaitOpened()
+                val accepted = atServer.awaitOpened()
+                assertEquals("entry-1", accepted.peerName)
+                assertEquals(LinkRole.ENTRY, accepted.peerRole)
+                val sent = (1L..500L).map { ZoneMessage.StagedNotice("entry-1", it) }
+                sent.forEach { assertTrue(client.send(it)) }
+                sent.forEach { assertTrue(accepted.send(it)) }
+                assertEquals(sent, sent.map { atServer.awaitMessage() })
+                assertEquals(sent, sent.map { atClient.awaitMessage() })
+            }
+        }
+
+    @Test
+    fun `an end with another fleet key is refused and hears nothing`() =
+        withServer { server ->
+            clientOf(server, fleetKey = "wrong").use {
+                assertEquals("the fleet keys differ", awaitRefusal())
+                assertFalse(atServer.hasOpened())
+                assertFalse(atClient.hasOpened())
+            }
+        }
+
+    @Test
+    fun `a role that the port does not accept is refused`() =
+        withServer(acceptedRoles = setOf(LinkRole.REPLICA)) { server ->
+            clientOf(server).use {
+                assertEquals("role ENTRY is not accepted on this port", awaitRefusal())
+            }
+        }
+
+    @Test
+    fun `broken input on the port is refused and harms no other link`() =
+        withServer { server ->
+            clientOf(server).use {
+                val client = atClient.awaitOpened()
+                atServer.awaitOpened()
+                Socket("127.0.0.1", server.port).use { socket ->
+                    socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".toByteArray())
+                    awaitRefusal()
+                }
+                val notice = ZoneMessage.StagedNotice("entry-1", 7)
+                client.send(notice)
+                assertEquals(notice, atServer.awaitMessage())
+            }
+        }
+
+    @Test
+    fun `a peer that stops sending heartbeats is given up`() =
+        withServer(settings = serverSettings.copy(silenceMilliseconds = 200)) { server ->
+            clientOf(server, heartbeatMilliseconds = 3_600_000).use {
+                atServer.awaitOpened()
+                assertEquals("silent for 200 ms", atServer.awaitClosed())
+            }
+        }
+
+    @Test
+    fun `the client moves to the next address when the first is lost`() =
+        withServer { first ->
+            withServer { second ->
+                val addresses = listOf(first, second).map { "127.0.0.1:${it.port}" }
+                linkClient(clientSettings, addresses, atClient, eventLog).unwrap().use {
+                    atClient.awaitOpened()
+                    first.close()
+                    atClient.awaitClosed()
+                    assertNotNull(atClient.awaitOpened())
+                }
+            }
+        }
+
+    @Test
+    fun `a port in use and a malformed address are named`() {
+        ServerSocket(0).use { taken ->
+            val address = "127.0.0.1:${taken.localPort}"
+            val failure = linkServer(serverSettings, address, atServer, eventLog).unwrapError()
+            assertIs<LinkFailure.AddressUnavailable>(failure)
+            assertTrue(address in failure.message)
+        }
+        assertIs<LinkFailure.MalformedAddress>(
+            linkServer(serverSettings, "nowhere", atServer, eventLog).unwrapError(),
+        )
+    }
+
+    private fun awaitRefusal(): String = assertNotNull(refusals.poll(20, TimeUnit.SECONDS), "no handshake was refused")
+
+    private fun withServer(
+        settings: LinkSettings = serverSettings,
+        acceptedRoles: Set<LinkRole> = LinkRole.entries.toSet(),
+        test: (LinkServer) -> Unit,
+    ) = linkServer(settings, "127.0.0.1:0", atServer, eventLog, acceptedRoles).unwrap().use(test)
+
+    private fun clientOf(
+        server: LinkServer,
+        fleetKey: String = "fleet",
+        heartbeatMilliseconds: Long = 1_000,
+    ): LinkClient {
+        val settings = clientSettings.copy(fleetKey = fleetKey, heartbeatMilliseconds = heartbeatMilliseconds)
+        return linkClient(settings, listOf("127.0.0.1:${server.port}"), atClient, eventLog).unwrap()
+    }
+
+    private companion object {
+        val serverSettings = LinkSettings(LinkRole.REPLICA, "control-1", "fleet")
+        val clientSettings = LinkSettings(LinkRole.ENTRY, "entry-1", "fleet")
+    }
+}
