--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -13,6 +13,13 @@
         val confirmed: Boolean,
     ) : ControlToEntry
 
+    /** A committed change. An entry that does not hold its base version sends [EntryToControl.EntryHello] again. */
+    @Serializable
+    data class ConfigurationChange(
+        val delta: ConfigurationDelta,
+        val confirmed: Boolean,
+    ) : ControlToEntry
+
     @Serializable
     data class ClaimAnswer(
         val key: ClaimKey,
