--- a/emulator/src/main/kotlin/hawthorncrank/emulator/internal/PrefixCache.kt
+++ b/emulator/src/main/kotlin/hawthorncrank/emulator/internal/PrefixCache.kt
@@ -34,11 +34,9 @@
     ): List<CacheEvent> = eventLog.filter { it.sequence > after && it.time <= publishedBefore }
 
     fun clear() {
-        val evicted = blocks.keys.toList()
         blocks.clear()
         eventLog.clear()
         sequence = 0
-        if (evicted.isNotEmpty()) sequence += 1
     }
 
     private fun publish(
--- /dev/null
+++ b/emulator/src/main/kotlin/hawthorncrank/emulator/internal/StreamFormat.kt
@@ -0,0 +1,79 @@
+package hawthorncrank.emulator.internal
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+
+/** Writes an answer as server-sent events or as one JSON object. The bytes depend on the answer alone. */
+internal class StreamFormat(
+    private val answer: AnswerText,
+    private val model: String,
+) {
+    fun chunk(index: Int): ByteArray = event { put("content", answer.token(index)) }
+
+    fun closing(): ByteArray = event(finishReason = "stop") {} + "data: [DONE]\n\n".toByteArray()
+
+    /** The chunk that holds byte [offset] of the stream, and how many of its bytes come before it. */
+    fun position(offset: Int): StreamPosition {
+        var left = offset
+        for (index in 0 until answer.length) {
+            val size = chunk(index).size
+            if (left < size) return StreamPosition(index, left)
+            left -= size
+        }
+        return StreamPosition(answer.length, left)
+    }
+
+    fun whole(promptTokens: Int): ByteArray =
+        buildJsonObject {
+            put("id", answer.identifier)
+            put("object", "chat.completion")
+            put("model", model)
+            putJsonArray("choices") {
+                addJsonObject {
+                    put("index", 0)
+                    putJsonObject("message") {
+                        put("role", "assistant")
+                        put("content", answer.whole())
+                    }
+                    put("finish_reason", "stop")
+                }
+            }
+            putJsonObject("usage") {
+                put("prompt_tokens", promptTokens)
+                put("completion_tokens", answer.length)
+                put("total_tokens", promptTokens + answer.length)
+            }
+        }.toString().toByteArray()
+
+    private fun event(
+        finishReason: String? = null,
+        delta: JsonObjectBuilder.() -> Unit,
+    ): ByteArray {
+        val choice: JsonObject =
+            buildJsonObject {
+                put("index", 0)
+                putJsonObject("delta", delta)
+                put("finish_reason", JsonPrimitive(finishReason))
+            }
+        val event =
+            buildJsonObject {
+                put("id", answer.identifier)
+                put("object", "chat.completion.chunk")
+                put("model", model)
+                putJsonArray("choices") { add(choice) }
+            }
+        return "data: $event\n\n".toByteArray()
+    }
+}
+
+internal data class StreamPosition(
+    val token: Int,
+    val skippedBytes: Int,
+)
--- /dev/null
+++ b/emulator/src/test/kotlin/hawthorncrank/emulator/internal/StreamFormatTest.kt
@@ -0,0 +1,27 @@
+package hawthorncrank.emulator.internal
+
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+
+class StreamFormatTest {
+    private val answer = AnswerText("model", "user: knots [length=9]\n", maximumTokens = null)
+    private val format = StreamFormat(answer, "model")
+
+    /** Guards against a resumed stream that repeats or drops bytes. */
+    @Test
+    fun `every offset continues the same bytes`() {
+        val whole = (0 until answer.length).map { format.chunk(it) }.reduce(ByteArray::plus)
+        whole.indices.forEach { offset ->
+            val position = format.position(offset)
+            val rest = (position.token until answer.length).map { format.chunk(it) }.reduce(ByteArray::plus)
+            assertContentEquals(whole.copyOfRange(offset, whole.size), rest.drop(position.skippedBytes).toByteArray())
+        }
+    }
+
+    @Test
+    fun `the request's limit shortens the answer`() {
+        assertEquals(9, answer.length)
+        assertEquals(4, AnswerText("model", "user: knots [length=9]\n", maximumTokens = 4).length)
+    }
+}
