--- a/protocol/src/main/kotlin/hawthorncrank/protocol/Configuration.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/Configuration.kt
@@ -64,7 +64,7 @@
     SERVICE,
 }
 
-/** A back end. Engines serve [models]; services serve the [ServiceRoute] named in [service]. */
+/** A back end. Engines serve [models]; services serve the routes whose service is [service]. */
 @Serializable
 data class Upstream(
     val name: String,
@@ -83,7 +83,7 @@
     val leaving: Boolean = false,
 )
 
-/** A plain HTTP service. Calls whose method is not in [idempotentMethods] need an idempotency key. */
+/** A path of a plain HTTP service. Calls whose method is not in [idempotentMethods] need an idempotency key. */
 @Serializable
 data class ServiceRoute(
     val name: String,
@@ -93,7 +93,13 @@
     val className: String,
     @SerialName("idempotent_methods")
     val idempotentMethods: List<String> = listOf("GET", "HEAD"),
-)
+    @SerialName("service")
+    private val namedService: String? = null,
+) {
+    /** The service whose upstreams run the calls of this route. Several routes may share one. */
+    val service: String
+        get() = namedService ?: name
+}
 
 /** The rate limit of the weight store that all model loads share. */
 @Serializable
