--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
@@ -1,6 +1,10 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
 package hawthorncrank.protocol
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 
 /** A control replica: its name in the settings, the identity of its data folder, and the address of its link port. */
 @Serializable
@@ -16,7 +20,7 @@
     val index: Long,
     val term: Long,
     val kind: RecordKind,
-    val payload: ByteArray,
+    @ByteString val payload: ByteArray,
 ) {
     override fun equals(other: Any?): Boolean =
         other is LogRecord &&
@@ -33,11 +37,16 @@
 @Serializable
 enum class RecordKind { COMMAND, MEMBERSHIP, NO_OPERATION }
 
-/** A message between control replicas, sealed by group and sender so that a replica outside the group is ignored. */
+/**
+ * A message between control replicas, marked with group and sender so that a replica outside the group is ignored.
+ * [recipient] is an identity, so that a message to a lost identity does not reach its successor at the same address. A
+ * [ReplicaMessage.JoinRequest] knows neither group nor recipient and leaves both empty.
+ */
 @Serializable
 data class ReplicaEnvelope(
     val group: String,
     val sender: ReplicaMember,
+    val recipient: String,
     val term: Long,
     val message: ReplicaMessage,
 ) : WireMessage
@@ -79,9 +88,9 @@
     class InstallSnapshot(
         val lastIndex: Long,
         val lastTerm: Long,
-        val membership: ByteArray,
+        @ByteString val membership: ByteArray,
         val offset: Long,
-        val bytes: ByteArray,
+        @ByteString val bytes: ByteArray,
         val last: Boolean,
         val round: Long,
     ) : ReplicaMessage
@@ -101,14 +110,18 @@
     @Serializable
     class ForwardedCommand(
         val ticket: Long,
-        val payload: ByteArray,
+        @ByteString val payload: ByteArray,
     ) : ReplicaMessage
 
-    /** [index] is where the command was committed, or null when the sender is not the leader or lost its term. */
+    /**
+     * [index] is where the command was committed. Without it, [refused] tells whether the command is certainly not
+     * committed, or may be because the leader lost its term.
+     */
     @Serializable
     data class ForwardedAnswer(
         val ticket: Long,
         val index: Long?,
+        val refused: Boolean,
     ) : ReplicaMessage
 
     /** Asks the leader for an index that a linearizable read must have applied. */
