--- a/consensus/src/main/kotlin/hawthorncrank/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/Replica.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.common.Reducer
 import hawthorncrank.common.Transition
+import hawthorncrank.consensus.internal.Safeguards
 import hawthorncrank.consensus.internal.fileReplicaStorage
 import hawthorncrank.consensus.internal.initialTransition
 import hawthorncrank.consensus.internal.reduceReplica
@@ -14,7 +15,7 @@
  * the effects in order.
  */
 fun replicaReducer(settings: ReplicaSettings): Reducer<ReplicaState, ReplicaEvent, ReplicaEffect> =
-    Reducer { state, event, now -> reduceReplica(settings, state, event, now) }
+    Reducer { state, event, now -> reduceReplica(settings, Safeguards(), state, event, now) }
 
 /**
  * The state of a replica after its start, and the effects that rebuild the application: the snapshot, if any. Records
--- /dev/null
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/FolderRecovery.kt
@@ -0,0 +1,123 @@
+/*
+ * Reads a data folder at the start. Whatever a crash can leave behind is repaired; anything else that does not add up is
+ * corruption, which only a new identity can repair, because the replica may have forgotten what it acknowledged.
+ */
+package hawthorncrank.consensus.internal
+
+import hawthorncrank.consensus.RecoveredReplica
+import hawthorncrank.consensus.ReplicaSnapshot
+import hawthorncrank.consensus.StorageFailure
+import hawthorncrank.consensus.VoteState
+import hawthorncrank.protocol.LogRecord
+import java.nio.ByteBuffer
+import java.nio.file.Files
+import java.nio.file.Path
+import java.security.SecureRandom
+import java.util.HexFormat
+import kotlin.io.path.name
+
+internal class FolderRecovery(
+    val replica: RecoveredReplica,
+    val segments: List<LogSegment>,
+)
+
+internal fun recoverFolder(folder: Path): FolderRecovery {
+    filesOf(folder, "").filter { it.name.endsWith(TEMPORARY_SUFFIX) }.forEach(Files::delete)
+    val identity = readIdentity(folder)
+    val vote = readVote(folder)
+    val snapshot = readSnapshot(folder)
+    val log = readLog(folder)
+    val kept = if (snapshot != null && log.conflictsWith(snapshot)) emptyList() else log.records
+    if (vote.group == null && (snapshot != null || !isInterruptedFormation(kept))) {
+        corrupt(folder.resolve(VOTE_FILE), "missing, although there are records")
+    }
+    val useful = if (vote.group == null) emptyList() else kept
+    if (useful.isEmpty()) discard(log)
+    val records = useful.dropWhile { it.index <= (snapshot?.lastIndex ?: 0) }
+    val expected = (snapshot?.lastIndex ?: 0) + 1
+    if (records.isNotEmpty() && records.first().index != expected) {
+        corrupt(folder, "the log starts at record ${records.first().index} instead of $expected")
+    }
+    val segments = if (useful.isEmpty()) emptyList() else log.segments
+    return FolderRecovery(RecoveredReplica(identity, vote, snapshot, records, log.tailBytes), segments)
+}
+
+private fun readIdentity(folder: Path): String {
+    val path = folder.resolve(IDENTITY_FILE)
+    if (Files.exists(path)) {
+        val text = Files.readString(path).trim()
+        if (!IDENTITY_PATTERN.matches(text)) corrupt(path, "not an identity")
+        return text
+    }
+    if (filesOf(folder, "").any { it.name != LOCK_FILE }) corrupt(path, "missing, although the folder is not empty")
+    val identity = HexFormat.of().formatHex(ByteArray(IDENTITY_BYTES).also(SecureRandom()::nextBytes))
+    replaceFile(path, ByteBuffer.wrap(identity.toByteArray()))
+    return identity
+}
+
+private fun readVote(folder: Path): VoteState {
+    val path = folder.resolve(VOTE_FILE)
+    if (!Files.exists(path)) return VoteState()
+    return decodeFile(path, VoteState.serializer()) ?: corrupt(path, "wrong checksum")
+}
+
+private fun readSnapshot(folder: Path): ReplicaSnapshot? {
+    val files = filesOf(folder, SNAPSHOT_PREFIX)
+    val newest = files.lastOrNull() ?: return null
+    val content = decodeFile(newest, SnapshotFile.serializer()) ?: corrupt(newest, "wrong checksum")
+    files.dropLast(1).forEach(Files::delete)
+    return content.snapshot()
+}
+
+private class RecoveredLog(
+    val segments: List<LogSegment>,
+    val records: List<LogRecord>,
+    val tailBytes: Long,
+) {
+    /** A crash came between saving a snapshot and deleting a log that conflicts with it or ends before it. */
+    fun conflictsWith(snapshot: ReplicaSnapshot): Boolean {
+        val last = records.lastOrNull() ?: return false
+        val atSnapshot = records.find { it.index == snapshot.lastIndex }
+        return last.index < snapshot.lastIndex || atSnapshot != null && atSnapshot.term != snapshot.lastTerm
+    }
+}
+
+private fun readLog(folder: Path): RecoveredLog {
+    val files = filesOf(folder, SEGMENT_PREFIX)
+    val segments = mutableListOf<LogSegment>()
+    val records = mutableListOf<LogRecord>()
+    var tailBytes = 0L
+    files.forEach { path ->
+        val first = path.name.removePrefix(SEGMENT_PREFIX).toLongOrNull() ?: corrupt(path, "unknown name")
+        if (records.isNotEmpty() && first != records.last().index + 1) corrupt(path, "does not follow the last segment")
+        val segment = openSegment(folder, first)
+        val content = segment.load()
+        if (content.tailBytes > 0) {
+            if (path != files.last()) corrupt(path, "wrong checksum before the last segment")
+            if (content.recordInTail) corrupt(path, "wrong checksum before a valid record")
+            segment.truncate(segment.lastIndex + 1)
+            tailBytes = content.tailBytes
+        }
+        segments += segment
+        records += content.records
+    }
+    return RecoveredLog(segments, records, tailBytes)
+}
+
+/** A group is persisted after its first record, so a crash between the two leaves just that record. */
+private fun isInterruptedFormation(records: List<LogRecord>): Boolean =
+    records.size <= 1 && records.all { it.index == 1L && it.term == 0L }
+
+private fun discard(log: RecoveredLog) =
+    log.segments.forEach {
+        it.close()
+        Files.delete(it.path)
+    }
+
+private fun corrupt(
+    path: Path,
+    detail: String,
+): Nothing = throw StorageException(StorageFailure.Corrupt(path.toString(), detail))
+
+private const val IDENTITY_BYTES = 16
+private val IDENTITY_PATTERN = Regex("[0-9a-f]{32}")
--- /dev/null
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -0,0 +1,200 @@
+package hawthorncrank.consensus.internal
+
+import hawthorncrank.common.Transition
+import hawthorncrank.consensus.Membership
+import hawthorncrank.consensus.RecoveredReplica
+import hawthorncrank.consensus.ReplicaEffect
+import hawthorncrank.consensus.ReplicaEvent
+import hawthorncrank.consensus.ReplicaRefusal
+import hawthorncrank.consensus.ReplicaSettings
+import hawthorncrank.consensus.ReplicaState
+import hawthorncrank.consensus.TicketAnswer
+import hawthorncrank.protocol.RecordKind
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.ReplicaMember
+import hawthorncrank.protocol.ReplicaMessage
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.random.Random
+
+@Suppress("LongParameterList")
+internal fun initialTransition(
+    settings: ReplicaSettings,
+    name: String,
+    address: String,
+    recovered: RecoveredReplica,
+    seed: Long,
+    now: Long,
+): Transition<ReplicaState, ReplicaEffect> {
+    val snapshot = recovered.snapshot
+    // Without a group, records are the remains of a formation that a crash interrupted before it counted.
+    val records = if (recovered.vote.group == null) emptyList() else recovered.records
+    val log = ReplicaLog(snapshot?.lastIndex ?: 0, snapshot?.lastTerm ?: 0, records.toPersistentList())
+    val first = IndexedMembership(log.baseIndex, snapshot?.membership ?: Membership())
+    val changes =
+        records
+            .filter { it.kind == RecordKind.MEMBERSHIP }
+            .map { IndexedMembership(it.index, decodeMembership(it.payload)) }
+    val random = Random(seed)
+    val state =
+        DefaultReplicaState(
+            self = ReplicaMember(name, recovered.identity, address),
+            vote = recovered.vote,
+            log = log,
+            snapshot = snapshot,
+            memberships = persistentListOf(first).addAll(changes),
+            committedIndex = log.baseIndex,
+            syncedIndex = log.lastIndex,
+            random = random.nextLong(),
+            nextNumber = random.nextLong(),
+            // The replica may have heard from a leader just before its restart, and the leader relies on that.
+            leaderHeardAt = now,
+            electionDeadline = now,
+        )
+    val step = ReplicaStep(settings, Safeguards(), now, state)
+    step.resetElectionDeadline()
+    if (snapshot != null) step.emit(ReplicaEffect.InstallSnapshot(snapshot.lastIndex, snapshot.bytes))
+    if (recovered.truncatedBytes > 0) step.record(ConsensusEvent.TAIL_TRUNCATED, "bytes" to recovered.truncatedBytes)
+    return step.transition()
+}
+
+internal fun reduceReplica(
+    settings: ReplicaSettings,
+    safeguards: Safeguards,
+    state: ReplicaState,
+    event: ReplicaEvent,
+    now: Long,
+): Transition<ReplicaState, ReplicaEffect> {
+    val step = ReplicaStep(settings, safeguards, now, state as DefaultReplicaState)
+    if (state.stopped) step.refuseWhenStopped(event) else step.handle(event)
+    return step.transition()
+}
+
+private fun ReplicaStep.handle(event: ReplicaEvent) {
+    when (event) {
+        is ReplicaEvent.EnvelopeReceived -> receive(event.envelope)
+        is ReplicaEvent.Tick -> tick()
+        is ReplicaEvent.StorageSynced -> release(event.token)
+        is ReplicaEvent.ProposeCommand -> proposeCommand(event.ticket, event.payload)
+        is ReplicaEvent.RequestRead -> requestRead(event.ticket)
+        is ReplicaEvent.FormGroup -> formGroup(event)
+        is ReplicaEvent.AdmitMember -> admit(event.ticket, event.member, replaces = null)
+        is ReplicaEvent.ReplaceMember -> admit(event.ticket, event.member, event.oldIdentity)
+        is ReplicaEvent.RemoveMember -> remove(event.ticket, event.identity)
+        is ReplicaEvent.SnapshotCaptured -> receiveCapturedSnapshot(event)
+        is ReplicaEvent.Stop -> stop()
+    }
+}
+
+private fun ReplicaStep.refuseWhenStopped(event: ReplicaEvent) {
+    val ticket =
+        when (event) {
+            is ReplicaEvent.ProposeCommand -> event.ticket
+            is ReplicaEvent.RequestRead -> event.ticket
+            is ReplicaEvent.FormGroup -> event.ticket
+            is ReplicaEvent.AdmitMember -> event.ticket
+            is ReplicaEvent.ReplaceMember -> event.ticket
+            is ReplicaEvent.RemoveMember -> event.ticket
+            else -> return
+        }
+    refuse(ticket, ReplicaRefusal.STOPPING)
+}
+
+private fun ReplicaStep.tick() {
+    expireRequests(now - settings.forwardTimeout)
+    when {
+        state.group == null -> askToJoinWhenDue()
+        leading != null -> leadOnTick()
+        else -> campaignWhenDue()
+    }
+}
+
+private fun ReplicaStep.stop() {
+    becomeFollower(null)
+    expireRequests(deadline = Long.MAX_VALUE)
+    state.deferred.forEach {
+        if (it.action is DeferredAction.AnswerFormed) refuseFormation(it.action.ticket)
+    }
+    state = state.copy(stopped = true, deferred = persistentListOf())
+}
+
+/** The formation is on its way to the disk and may or may not count. */
+private fun ReplicaStep.refuseFormation(ticket: Long) = answer(ticket, TicketAnswer.Unknown)
+
+private fun ReplicaStep.release(token: Long) {
+    val (released, deferred) = state.deferred.partition { it.token <= token }
+    state = state.copy(syncedToken = maxOf(state.syncedToken, token), deferred = deferred.toPersistentList())
+    released.forEach { perform(it.action) }
+}
+
+private fun ReplicaStep.perform(action: DeferredAction) {
+    when (action) {
+        is DeferredAction.Send -> {
+            // In a later term the log may have changed, so an answer of an earlier one may no longer be true.
+            if (action.effect.envelope.term == state.term) emit(action.effect)
+        }
+
+        is DeferredAction.LogSynced -> {
+            state = state.copy(syncedIndex = maxOf(state.syncedIndex, action.lastIndex))
+            advanceCommit()
+        }
+
+        is DeferredAction.CountOwnVote -> {
+            countOwnVote(action.term)
+        }
+
+        is DeferredAction.AnswerFormed -> {
+            answer(action.ticket, TicketAnswer.Committed(1))
+        }
+
+        is DeferredAction.CompactLog -> {
+            compactLog(action.snapshot)
+        }
+    }
+}
+
+private fun ReplicaStep.receive(envelope: ReplicaEnvelope) {
+    val message = envelope.message
+    if (message is ReplicaMessage.JoinRequest) return receiveJoinRequest(envelope)
+    if (envelope.recipient != state.self.identity || envelope.group.isEmpty()) return
+    if (state.group == null) {
+        if (message !is ReplicaMessage.FromLeader && message !is ReplicaMessage.VoteRequest) return
+        joinGroup(envelope.group)
+        // The vote that the request asks for is left to the next round, when the admission is synced.
+        if (message is ReplicaMessage.VoteRequest) return
+    }
+    if (envelope.group != state.group || envelope.sender.identity in state.membership.retired) return
+    dispatch(envelope, message)
+}
+
+private fun ReplicaStep.dispatch(
+    envelope: ReplicaEnvelope,
+    message: ReplicaMessage,
+) {
+    when (message) {
+        is ReplicaMessage.VoteRequest -> receiveVoteRequest(envelope, message)
+        is ReplicaMessage.Append -> receiveAppend(envelope, message)
+        is ReplicaMessage.InstallSnapshot -> receiveSnapshotChunk(envelope, message)
+        is ReplicaMessage.ForwardedAnswer -> receiveForwardedAnswer(message)
+        is ReplicaMessage.ReadIndexAnswer -> receiveReadAnswer(message)
+        is ReplicaMessage.JoinRequest -> Unit
+        else -> if (isMember(envelope.sender)) dispatchFromMember(envelope, message)
+    }
+}
+
+private fun ReplicaStep.dispatchFromMember(
+    envelope: ReplicaEnvelope,
+    message: ReplicaMessage,
+) {
+    if (message is ReplicaMessage.ForwardedCommand) return receiveForwardedCommand(envelope, message)
+    if (message is ReplicaMessage.ReadIndexRequest) return receiveReadRequest(envelope, message)
+    if (envelope.term > state.term) return adoptTerm(envelope.term)
+    when (message) {
+        is ReplicaMessage.VoteAnswer -> receiveVoteAnswer(envelope, message)
+        is ReplicaMessage.AppendAnswer -> receiveAppendAnswer(envelope, message)
+        is ReplicaMessage.SnapshotAnswer -> receiveSnapshotAnswer(envelope, message)
+        else -> Unit
+    }
+}
+
+private fun ReplicaStep.isMember(sender: ReplicaMember): Boolean = sender.identity in otherMembers().map { it.identity }
--- /dev/null
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
@@ -0,0 +1,133 @@
+/*
+ * Snapshots bound the log. A follower that needs records older than the log gets the snapshot in chunks, one at a time,
+ * each repeated with the heartbeat until it is answered.
+ */
+package hawthorncrank.consensus.internal
+
+import hawthorncrank.consensus.ReplicaEffect
+import hawthorncrank.consensus.ReplicaEvent
+import hawthorncrank.consensus.ReplicaSnapshot
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.ReplicaMessage
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import java.io.ByteArrayOutputStream
+
+internal fun ReplicaStep.captureSnapshotWhenDue() {
+    val since = state.committedIndex - (state.snapshot?.lastIndex ?: 0)
+    if (state.capturing != null || since < settings.snapshotInterval) return
+    state = state.copy(capturing = state.committedIndex)
+    emit(ReplicaEffect.CaptureSnapshot(state.committedIndex))
+}
+
+internal fun ReplicaStep.receiveCapturedSnapshot(event: ReplicaEvent.SnapshotCaptured) {
+    val term = state.log.term(event.index)
+    if (event.index != state.capturing || term == null) return
+    val membership = state.memberships.last { it.index <= event.index }.membership
+    val snapshot = ReplicaSnapshot(event.index, term, membership, event.bytes)
+    state = state.copy(snapshot = snapshot, capturing = null)
+    emit(ReplicaEffect.PersistSnapshot(nextToken(), snapshot, retainRecords = true))
+    defer(DeferredAction.CompactLog(snapshot))
+}
+
+internal fun ReplicaStep.compactLog(snapshot: ReplicaSnapshot) {
+    val current = state.memberships.indexOfLast { it.index <= snapshot.lastIndex }.coerceAtLeast(0)
+    state =
+        state.copy(
+            log = state.log.compact(snapshot.lastIndex - settings.retainedRecords),
+            memberships = state.memberships.drop(current).toPersistentList(),
+        )
+    record(ConsensusEvent.SNAPSHOT_SAVED, "index" to snapshot.lastIndex, "bytes" to snapshot.bytes.size)
+}
+
+internal fun ReplicaStep.sendSnapshotChunk(progress: Progress) {
+    val snapshot = state.snapshot ?: return
+    val transfer =
+        progress.transfer?.takeIf { it.lastIndex == snapshot.lastIndex } ?: SnapshotTransfer(snapshot.lastIndex)
+    val offset = transfer.offset.toInt()
+    val end = minOf(snapshot.bytes.size, offset + settings.messageBytes)
+    updateProgress(progress.member.identity) { it.copy(transfer = transfer, inFlight = it.inFlight.clear()) }
+    send(
+        progress.member,
+        ReplicaMessage.InstallSnapshot(
+            snapshot.lastIndex,
+            snapshot.lastTerm,
+            encodeMembership(snapshot.membership),
+            transfer.offset,
+            snapshot.bytes.copyOfRange(offset, end),
+            last = end == snapshot.bytes.size,
+            leading?.round ?: 0,
+        ),
+    )
+}
+
+internal fun ReplicaStep.receiveSnapshotAnswer(
+    envelope: ReplicaEnvelope,
+    answer: ReplicaMessage.SnapshotAnswer,
+) {
+    if (!noteAnswer(envelope, answer.round)) return
+    confirmRounds()
+    val progress = leading?.progress?.get(envelope.sender.identity) ?: return
+    val transfer = progress.transfer ?: return
+    val size = state.snapshot?.bytes?.size ?: 0
+    if (answer.lastIndex != transfer.lastIndex || answer.nextOffset !in 0..size) return
+    updateProgress(envelope.sender.identity) { it.copy(transfer = transfer.copy(offset = answer.nextOffset)) }
+    // A lower offset may be a late answer; only the heartbeat repeats chunks, so that duplicates do not multiply.
+    if (answer.nextOffset > transfer.offset) {
+        leading?.progress?.get(envelope.sender.identity)?.let(::sendSnapshotChunk)
+    }
+}
+
+internal fun ReplicaStep.receiveSnapshotChunk(
+    envelope: ReplicaEnvelope,
+    chunk: ReplicaMessage.InstallSnapshot,
+) {
+    if (!acceptLeader(envelope) || chunk.lastIndex <= state.committedIndex) {
+        val accepted = envelope.term == state.term && leading == null
+        val match = if (accepted) chunk.lastIndex else state.committedIndex
+        sendWhenSynced(envelope.sender, ReplicaMessage.AppendAnswer(accepted, match, chunk.round))
+        return
+    }
+    val known = state.incoming?.takeIf { it.lastIndex == chunk.lastIndex && it.sender == envelope.sender.identity }
+    val before = known ?: IncomingSnapshot(envelope.sender.identity, chunk.lastIndex)
+    val incoming =
+        if (chunk.offset == before.size) {
+            before.copy(size = before.size + chunk.bytes.size, chunks = before.chunks.add(chunk.bytes))
+        } else {
+            before
+        }
+    state = state.copy(incoming = incoming)
+    if (chunk.last && incoming !== before) {
+        install(chunk, incoming)
+        sendWhenSynced(envelope.sender, ReplicaMessage.AppendAnswer(true, chunk.lastIndex, chunk.round))
+    } else {
+        sendWhenSynced(envelope.sender, ReplicaMessage.SnapshotAnswer(chunk.lastIndex, incoming.size, chunk.round))
+    }
+}
+
+private fun ReplicaStep.install(
+    chunk: ReplicaMessage.InstallSnapshot,
+    incoming: IncomingSnapshot,
+) {
+    val bytes = ByteArrayOutputStream(incoming.size.toInt()).apply { incoming.chunks.forEach(::write) }.toByteArray()
+    val membership = decodeMembership(chunk.membership)
+    val snapshot = ReplicaSnapshot(chunk.lastIndex, chunk.lastTerm, membership, bytes)
+    val retain = state.log.term(chunk.lastIndex) == chunk.lastTerm
+    val later = if (retain) state.memberships.filter { it.index > chunk.lastIndex } else emptyList()
+    state =
+        state.copy(
+            snapshot = snapshot,
+            log = if (retain) state.log.compact(chunk.lastIndex) else ReplicaLog(chunk.lastIndex, chunk.lastTerm),
+            memberships = persistentListOf(IndexedMembership(chunk.lastIndex, membership)).addAll(later),
+            committedIndex = chunk.lastIndex,
+            syncedIndex = if (retain) state.syncedIndex else minOf(state.syncedIndex, chunk.lastIndex),
+            incoming = null,
+            capturing = null,
+        )
+    if (!retain) clipDeferred(0)
+    emit(ReplicaEffect.PersistSnapshot(nextToken(), snapshot, retain))
+    defer(DeferredAction.LogSynced(if (retain) state.lastIndex else chunk.lastIndex))
+    emit(ReplicaEffect.InstallSnapshot(chunk.lastIndex, bytes))
+    record(ConsensusEvent.SNAPSHOT_INSTALLED, "index" to chunk.lastIndex, "bytes" to bytes.size)
+    answerWaiting()
+}
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
@@ -53,6 +53,9 @@
 
 @Serializable
 sealed interface ReplicaMessage {
+    /** Only the leader of the envelope's term sends these. */
+    sealed interface FromLeader
+
     @Serializable
     data class VoteRequest(
         val preliminary: Boolean,
@@ -74,7 +77,8 @@
         val records: List<LogRecord>,
         val committedIndex: Long,
         val round: Long,
-    ) : ReplicaMessage
+    ) : ReplicaMessage,
+        FromLeader
 
     /** [matchIndex] is synced when [accepted]; otherwise it hints where to continue. */
     @Serializable
@@ -93,7 +97,8 @@
         @ByteString val bytes: ByteArray,
         val last: Boolean,
         val round: Long,
-    ) : ReplicaMessage
+    ) : ReplicaMessage,
+        FromLeader
 
     @Serializable
     data class SnapshotAnswer(
