Add the scheduler and the router with their public interfaces

The entry reducer needs both interfaces to be written against. The scheduler applies rules R1 to R6 over persistent ordered lanes; the router chooses by load, prefix match, speed and distance.

Ruled out: a placement that returns only a name, because several starts of one dispatch would not see each other; routing state is passed through the placement instead. Keeping routing free of scheduling was ruled out as well, because the request type would exist twice; routing now depends on scheduling.

A share is a fraction of slots. Admitting while the count is below it rounds up and put five requests on an engine of three slots; it now rounds to the nearest. One test drives both through a preemption.

--- /dev/null
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RouterPlacement.kt
@@ -0,0 +1,46 @@
+package hawthorncrank.routing
+
+import hawthorncrank.scheduling.Placement
+import hawthorncrank.scheduling.PlacementAnswer
+import hawthorncrank.scheduling.PlacementQuestion
+import hawthorncrank.scheduling.QueuedWork
+
+/**
+ * The scheduler's placement by a router, with request numbers as attempt numbers. [constraint] gives what applies to a
+ * request beyond its target. A target without any eligible upstream counts as having no room.
+ */
+fun routerPlacement(
+    now: Long,
+    constraint: (QueuedWork) -> PlacementConstraint = { PlacementConstraint() },
+): Placement<Router> =
+    Placement(
+        place = { router, question -> place(router, question, constraint(question.work), now) },
+        release = { router, requestNumber -> router.attemptEnded(requestNumber) },
+    )
+
+private fun place(
+    router: Router,
+    question: PlacementQuestion,
+    constraint: PlacementConstraint,
+    now: Long,
+): PlacementAnswer<Router> {
+    val work = question.work
+    val asked = RoutingQuestion(work, question.tier, question.capacity, constraint, question.preemptableTier)
+    return when (val answer = router.place(asked, now)) {
+        is RoutingAnswer.Chosen -> {
+            val attempt =
+                RoutedAttempt(
+                    work.requestNumber,
+                    answer.upstream,
+                    work,
+                    question.tier,
+                    question.capacity,
+                    constraint.isolated,
+                )
+            val started = answer.router.attemptStarted(attempt, now)
+            PlacementAnswer.Placed(answer.upstream, answer.overcommitted, started)
+        }
+        RoutingAnswer.ConstraintUnmet -> PlacementAnswer.NotThisRequest
+        RoutingAnswer.NoRoom, RoutingAnswer.NoUpstream -> PlacementAnswer.NoRoom
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RouterView.kt
@@ -0,0 +1,23 @@
+package hawthorncrank.routing
+
+/** Read access to the router's state, for metrics and for checks. */
+interface RouterView {
+    fun inFlight(upstream: String): Int
+
+    /** The part of normal work that the upstream gets now: 1.0, or less while it is slow or returning. */
+    fun speedFactor(upstream: String): Double
+
+    /** How many requests of the shared capacity this entry may have on the upstream now. */
+    fun share(
+        upstream: String,
+        now: Long,
+    ): Double
+
+    fun isEligible(upstream: String): Boolean
+
+    fun crossesRegion(upstream: String): Boolean
+
+    fun crossRegionBytes(organisation: String): Long
+
+    val prefixBlocks: Int
+}
--- /dev/null
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
@@ -0,0 +1,146 @@
+package hawthorncrank.routing.internal
+
+import hawthorncrank.routing.ChoiceRule
+import hawthorncrank.routing.RoutingAnswer
+import hawthorncrank.routing.RoutingQuestion
+import hawthorncrank.scheduling.CapacityKind
+import java.util.SplittableRandom
+
+/**
+ * One choice of an upstream. Distances are tried in turn: zone, region, and another region if the target would
+ * otherwise be missed. Within a distance, an upstream with free room is looked for first, among two random ones and
+ * those that hold the prompt's prefix, then among all. Only then does rule R2 let the request in above lower tiers, on
+ * the upstream whose preemptable work is of the lowest tier.
+ */
+internal class Choosing(
+    private val state: RouterState,
+    private val question: RoutingQuestion,
+    private val now: Long,
+) {
+    private val random = SplittableRandom(state.seed)
+    private val work = question.work
+    private val matches: Map<String, Double> =
+        if (state.policy.prefixAffinity) {
+            state.prefixes.matches(work.prefixBlocks) { state.upstreams[it]?.cache }
+        } else {
+            emptyMap()
+        }
+
+    fun choose(): RoutingAnswer {
+        val candidates = state.candidates[work.target] ?: return RoutingAnswer.NoUpstream
+        if (question.constraint.isolated) return isolated(candidates)
+        for (distance in Distance.entries) {
+            val names = candidates.at(distance)
+            if (names.isEmpty()) continue
+            if (distance == Distance.ELSEWHERE && !mayLeaveRegion(candidates)) continue
+            val chosen = withFreeRoom(names) ?: aboveLowerTiers(names) ?: continue
+            return chosen
+        }
+        val excludedAll = candidates.all.all { it in question.constraint.excluded }
+        return if (excludedAll) RoutingAnswer.ConstraintUnmet else RoutingAnswer.NoRoom
+    }
+
+    /** The engine with no other suspect and the least other work; tier 1 elsewhere breaks ties. */
+    private fun isolated(candidates: Candidates): RoutingAnswer {
+        val chosen =
+            candidates.all
+                .filter { it !in question.constraint.excluded && upstream(it).suspects == 0 }
+                .minWithOrNull(
+                    compareBy(
+                        { upstream(it).distance == Distance.ELSEWHERE },
+                        { upstream(it).own + upstream(it).others(now, state.policy.loadDiscounting) },
+                        { upstream(it).sharedUpTo(1) },
+                    ),
+                ) ?: return RoutingAnswer.ConstraintUnmet
+        return chosen(chosen, overcommitted = false)
+    }
+
+    private fun withFreeRoom(names: List<String>): RoutingAnswer? {
+        if (state.policy.choice == ChoiceRule.ROUND_ROBIN) return roundRobin(names)
+        if (state.policy.choice == ChoiceRule.LEAST_IN_FLIGHT) {
+            return names.filter(::hasFreeRoom).minByOrNull { upstream(it).own }?.let { chosen(it, false) }
+        }
+        val sampled = LinkedHashSet<String>()
+        repeat(2) { sampled += names[random.nextInt(names.size)] }
+        for (name in matches.keys) {
+            if (upstream(name).distance == upstream(names[0]).distance &&
+                name in state.upstreams
+            ) {
+                sampled += name
+            }
+        }
+        val best = sampled.filter { it in names && hasFreeRoom(it) }.minByOrNull(::cost)
+        if (best != null) return chosen(best, false)
+        return names.filter(::hasFreeRoom).minByOrNull(::cost)?.let { chosen(it, false) }
+    }
+
+    private fun roundRobin(names: List<String>): RoutingAnswer? {
+        for (step in names.indices) {
+            val name = names[(state.rotation + step) % names.size]
+            if (hasFreeRoom(name)) return chosen(name, false)
+        }
+        return null
+    }
+
+    private fun aboveLowerTiers(names: List<String>): RoutingAnswer? {
+        if (!state.policy.tierAware || question.capacity == CapacityKind.FLOOR) return null
+        return names
+            .filter { allowed(it) && roomFor(upstream(it).sharedUpTo(question.tier), upstream(it)) }
+            .minWithOrNull(compareBy({ -preemptableTier(it) }, ::cost))
+            ?.let { chosen(it, overcommitted = true) }
+    }
+
+    private fun preemptableTier(name: String): Int = question.preemptableTier(name)?.takeIf { it > question.tier } ?: 0
+
+    /** Floor work runs on capacity that is set aside for it, so it finds room wherever an upstream is usable. */
+    private fun hasFreeRoom(name: String): Boolean {
+        if (!allowed(name)) return false
+        if (question.capacity == CapacityKind.FLOOR) return true
+        val upstream = upstream(name)
+        return roomFor(upstream.own - upstream.floor, upstream)
+    }
+
+    /** Shares are fractions of slots; rounding them to the nearest keeps the sum over entries near the slots. */
+    private fun roomFor(
+        counted: Int,
+        upstream: UpstreamState,
+    ): Boolean = counted + 0.5 <= state.share(upstream, now)
+
+    private fun allowed(name: String): Boolean = name !in question.constraint.excluded
+
+    /** Load for each slot at the engine's present speed, less what a matching prefix saves. */
+    private fun cost(name: String): Double {
+        val upstream = upstream(name)
+        val load = upstream.own + upstream.others(now, state.policy.loadDiscounting) + 1
+        val loaded = load / (upstream.slots * state.factor(upstream))
+        return loaded - PREFIX_WEIGHT * (matches[name] ?: 0.0)
+    }
+
+    private fun mayLeaveRegion(candidates: Candidates): Boolean {
+        if (candidates.at(Distance.ZONE).isEmpty() && candidates.at(Distance.REGION).isEmpty()) return true
+        val settings = state.classes[work.className] ?: return false
+        val target = settings.firstToken?.value ?: work.finishBy?.let { (it - work.arrival) / 2 } ?: return false
+        return now - work.arrival > target * SPENT_BEFORE_LEAVING_REGION
+    }
+
+    private fun chosen(
+        name: String,
+        overcommitted: Boolean,
+    ): RoutingAnswer =
+        RoutingAnswer.Chosen(
+            name,
+            overcommitted,
+            state.copy(seed = random.nextLong(), rotation = (state.rotation + 1) % ROTATION),
+        )
+
+    private fun upstream(name: String): UpstreamState = state.upstreams.getValue(name)
+
+    private companion object {
+        /** A whole prefix match outweighs this much load of an engine. */
+        const val PREFIX_WEIGHT = 0.5
+
+        /** Half of the target is left for the longer way and the first token. */
+        const val SPENT_BEFORE_LEAVING_REGION = 0.5
+        const val ROTATION = 1 shl 20
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
@@ -0,0 +1,121 @@
+package hawthorncrank.routing.internal
+
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.routing.RoutedAttempt
+import hawthorncrank.routing.UpstreamLoad
+import hawthorncrank.scheduling.CapacityKind
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import kotlin.math.pow
+
+/** What this entry knows of one upstream. [shared] counts its own attempts on shared capacity by tier. */
+internal data class UpstreamState(
+    val settings: Upstream,
+    val distance: Distance,
+    val eligible: Boolean = true,
+    val shared: PersistentList<Int> = NO_ATTEMPTS,
+    val floor: Int = 0,
+    val suspects: Int = 0,
+    val report: ObservedReport? = null,
+    val speed: SpeedState = SpeedState(),
+    val cache: CacheState = CacheState(settings.name),
+) {
+    val usable: Boolean
+        get() = eligible && !settings.leaving
+
+    val slots: Int
+        get() = (report?.slots ?: settings.slots).coerceAtLeast(1)
+
+    val own: Int
+        get() = shared.sum() + floor
+
+    /** Own attempts on shared capacity of [tier] and the tiers above it (rule R2). */
+    fun sharedUpTo(tier: Int): Int {
+        var sum = 0
+        for (index in 0..tierIndex(tier)) sum += shared[index]
+        return sum
+    }
+
+    fun started(attempt: RoutedAttempt): UpstreamState = counted(attempt, 1)
+
+    fun ended(attempt: RoutedAttempt): UpstreamState = counted(attempt, -1)
+
+    private fun counted(
+        attempt: RoutedAttempt,
+        change: Int,
+    ): UpstreamState {
+        val suspected = if (attempt.suspect) suspects + change else suspects
+        if (attempt.capacity == CapacityKind.FLOOR) return copy(floor = floor + change, suspects = suspected)
+        val index = tierIndex(attempt.tier)
+        return copy(shared = shared.set(index, shared[index] + change), suspects = suspected)
+    }
+
+    fun observe(
+        load: UpstreamLoad,
+        now: Long,
+    ): UpstreamState {
+        if (report != null && load.sequence <= report.sequence &&
+            now - report.at < RESTART_AFTER_MILLISECONDS
+        ) {
+            return this
+        }
+        val total = load.running + load.queued
+        return copy(
+            report =
+                ObservedReport(
+                    sequence = load.sequence,
+                    slots = load.slots,
+                    others = (total - own).coerceAtLeast(0),
+                    free = (load.slots - total).coerceAtLeast(0),
+                    ownThen = own,
+                    at = now,
+                ),
+        )
+    }
+
+    /** Load that other entries caused, by the last report. */
+    fun others(
+        now: Long,
+        discounting: Boolean,
+    ): Double = report?.let { it.others * it.weight(now, discounting) } ?: 0.0
+
+    /** Slots that the last report leaves free after what this entry has started since. */
+    fun free(
+        now: Long,
+        discounting: Boolean,
+    ): Double = report?.let { (it.free - (own - it.ownThen)).coerceAtLeast(0) * it.weight(now, discounting) } ?: 0.0
+
+    companion object {
+        /** Tiers from this one down share a count; the planned size has five. */
+        private const val TIERS = 8
+        private val NO_ATTEMPTS: PersistentList<Int> = List(TIERS) { 0 }.toPersistentList()
+
+        /** After this silence, a lower sequence means that the engine process restarted. */
+        private const val RESTART_AFTER_MILLISECONDS = 3_000L
+
+        private fun tierIndex(tier: Int): Int = (tier - 1).coerceIn(0, TIERS - 1)
+    }
+}
+
+/** The parts of a load report that decisions use, as of its arrival. */
+internal data class ObservedReport(
+    val sequence: Long,
+    val slots: Int,
+    val others: Int,
+    val free: Int,
+    val ownThen: Int,
+    val at: Long,
+) {
+    fun weight(
+        now: Long,
+        discounting: Boolean,
+    ): Double = if (discounting) 0.5.pow((now - at) / HALF_LIFE_MILLISECONDS) else 1.0
+
+    private companion object {
+        /** Reports come about once per second; one that is missing twice counts a quarter. */
+        const val HALF_LIFE_MILLISECONDS = 1_000.0
+    }
+}
+
+/** How far an upstream is from this entry. */
+internal enum class Distance { ZONE, REGION, ELSEWHERE }
--- /dev/null
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Accounting.kt
@@ -0,0 +1,101 @@
+package hawthorncrank.scheduling.internal
+
+import hawthorncrank.scheduling.CapacityKind
+import hawthorncrank.scheduling.InFlightWork
+import hawthorncrank.scheduling.QueuedWork
+
+/**
+ * Starts, progress and ends of requests. An organisation is charged the expected length at the start, so that a burst
+ * of starts does not look free, and the difference to what was served at the end.
+ */
+internal fun SchedulerState.start(
+    work: QueuedWork,
+    upstream: String,
+    capacity: CapacityKind,
+    now: Long,
+): SchedulerState {
+    val fromQueue = if (work.requestNumber in queued) dequeue(work) else this
+    val current = work.copy(tier = tier(work.className))
+    val charge = 1 + (estimates.quantile(SchedulerState.member(work), 0.5) ?: UNKNOWN_LENGTH)
+    val running = InFlightWork(current, upstream, capacity, startedAt = now, charged = charge)
+    val state = fromQueue.classState(work.className)
+    val account = state.account(work.organisation)
+    val counted =
+        state
+            .copy(
+                virtualTime = maxOf(state.virtualTime, account.virtualTime),
+                floorInUse = state.floorInUse + if (capacity == CapacityKind.FLOOR) 1 else 0,
+            ).put(work.organisation, account.copy(lastStart = now, active = account.active + 1))
+    return fromQueue
+        .copy(
+            classes = fromQueue.classes.put(work.className, counted),
+            inFlight = fromQueue.inFlight.put(work.requestNumber, running),
+        ).addVictim(running)
+        .changeLane(work) { started(now) }
+        .charge(work, charge)
+        .reorder(work)
+}
+
+internal fun SchedulerState.recordProgress(
+    requestNumber: Long,
+    tokens: Int,
+    answerStarted: Boolean,
+    now: Long,
+): SchedulerState {
+    val before = inFlight[requestNumber] ?: return this
+    val produced = (tokens - before.tokens).coerceAtLeast(0)
+    val beyondCharge = (tokens + 1 - before.charged).coerceAtLeast(0)
+    val after =
+        before.copy(
+            tokens = maxOf(tokens, before.tokens),
+            tokensAt = now,
+            answerStarted = before.answerStarted || answerStarted,
+            charged = before.charged + beyondCharge,
+        )
+    val next =
+        copy(inFlight = inFlight.put(requestNumber, after), speeds = speeds.observe(before, tokens, now))
+            .charge(before.work, beyondCharge)
+            .spend(before.work, produced, now)
+    return if (after.answerStarted) next.removeVictim(after) else next
+}
+
+/** Takes the request out of flight and settles its charge at [served] tokens. */
+internal fun SchedulerState.stop(
+    running: InFlightWork,
+    served: Int,
+): SchedulerState {
+    val state = classState(running.work.className)
+    val account = state.account(running.work.organisation)
+    val counted =
+        state
+            .copy(floorInUse = state.floorInUse - if (running.capacity == CapacityKind.FLOOR) 1 else 0)
+            .put(running.work.organisation, account.copy(active = account.active - 1))
+    return removeVictim(running)
+        .copy(
+            inFlight = inFlight.remove(running.number),
+            classes = classes.put(running.work.className, counted),
+        ).charge(running.work, served - running.charged)
+}
+
+internal fun SchedulerState.spend(
+    work: QueuedWork,
+    tokens: Int,
+    now: Long,
+): SchedulerState {
+    val limit = limits[work.organisation]
+    if (limit == null || tokens == 0) return this
+    return copy(limits = limits.put(work.organisation, limit.generated(organisation(work.organisation), tokens, now)))
+}
+
+/** The request is over for this scheduler: it no longer counts towards its organisation's requests in flight. */
+internal fun SchedulerState.release(
+    organisationName: String,
+    now: Long?,
+): SchedulerState {
+    val limit = limits[organisationName]?.ended() ?: return this
+    val forget = now != null && limit.isFresh(organisation(organisationName), now)
+    return copy(limits = if (forget) limits.remove(organisationName) else limits.put(organisationName, limit))
+}
+
+/** Charged until a class has finished its first requests. */
+private const val UNKNOWN_LENGTH = 100
--- /dev/null
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Admission.kt
@@ -0,0 +1,132 @@
+package hawthorncrank.scheduling.internal
+
+import hawthorncrank.scheduling.QueuedWork
+import hawthorncrank.scheduling.RefusalReason
+import hawthorncrank.scheduling.Shed
+import hawthorncrank.scheduling.WorkTarget
+
+/** What the admission of a request came to. */
+internal sealed interface Admission {
+    val state: SchedulerState
+
+    class Accepted(
+        override val state: SchedulerState,
+        val shed: List<Shed>,
+    ) : Admission
+
+    class Refused(
+        override val state: SchedulerState,
+        val reason: RefusalReason,
+        val retryAfterMilliseconds: Long,
+    ) : Admission
+}
+
+/** Applies the organisation's limits, rule R6 and the queue bounds, in this order. */
+internal fun SchedulerState.admit(
+    work: QueuedWork,
+    now: Long,
+): Admission {
+    val organisation = organisation(work.organisation)
+    val limit = limits[work.organisation] ?: OrganisationLimits.fresh(organisation, now)
+    limit.exceeded(organisation, now)?.let { (reason, wait) -> return Admission.Refused(this, reason, wait) }
+    if (tooLate(work, now)) return Admission.Refused(this, RefusalReason.TooLate, retryAfter(work, now))
+    val room = makeRoom(work, now) ?: return Admission.Refused(this, RefusalReason.QueueFull, retryAfter(work, now))
+    val accepted = room.state.copy(limits = room.state.limits.put(work.organisation, limit.accepted(organisation, now)))
+    return Admission.Accepted(accepted.enqueue(work.copy(tier = tier(work.className))), room.shed)
+}
+
+internal fun SchedulerState.tooLate(
+    work: QueuedWork,
+    now: Long,
+): Boolean = latestStart(work)?.let { now > it } ?: false
+
+internal fun SchedulerState.predictedWait(
+    target: WorkTarget,
+    className: String,
+    now: Long,
+): Long = lane(target, className).predictedWait(now)
+
+internal fun SchedulerState.retryAfter(
+    work: QueuedWork,
+    now: Long,
+): Long =
+    predictedWait(work.target, work.className, now)
+        .coerceIn(SHORTEST_RETRY_MILLISECONDS, LONGEST_RETRY_MILLISECONDS)
+
+/** Takes a queued request out and ends it. */
+internal fun SchedulerState.refuse(
+    work: QueuedWork,
+    now: Long,
+): SchedulerState = dequeue(work).release(work.organisation, now)
+
+private class Room(
+    val state: SchedulerState,
+    val shed: List<Shed>,
+)
+
+/**
+ * Sheds what rule R3 allows until the request fits, or returns null. A class that is at its own bound takes places from
+ * lower tiers queued for the same target, so it may exceed that bound by the places taken; the total never grows. When
+ * nothing lower can give way, organisations with more than their share of the class's queue give way to others.
+ */
+private fun SchedulerState.makeRoom(
+    work: QueuedWork,
+    now: Long,
+): Room? {
+    var state = this
+    val shed = mutableListOf<Shed>()
+    var places = 0
+    var bytes = 0L
+    while (true) {
+        val own = state.classState(work.className)
+        val classFull =
+            own.requests + 1 - places > own.settings.queueRequests ||
+                own.bytes + work.bodyBytes - bytes > own.settings.queueSize.bytes
+        val totalFull = state.totalFull(work)
+        if (!classFull && !totalFull) return Room(state, shed)
+        if (!classFull && own.requests < own.settings.floorSlots) return Room(state, shed)
+        val victim =
+            state.lowerTierVictim(work, sameTarget = classFull)
+                ?: state.largestQueueVictim(work)
+                ?: return null
+        if (victim.className != work.className) {
+            places++
+            bytes += victim.bodyBytes
+        }
+        val retryAfter = state.retryAfter(victim, now)
+        state = state.refuse(victim, now)
+        shed += Shed(victim, RefusalReason.QueueFull, retryAfter)
+    }
+}
+
+private fun SchedulerState.totalFull(work: QueuedWork): Boolean {
+    val requestBound = classes.values.sumOf { it.settings.queueRequests }
+    val byteBound = classes.values.sumOf { it.settings.queueSize.bytes }
+    return queued.size + 1 > requestBound || queuedBytes + work.bodyBytes > byteBound
+}
+
+private fun SchedulerState.lowerTierVictim(
+    work: QueuedWork,
+    sameTarget: Boolean,
+): QueuedWork? {
+    if (!policy.shedLowestTier) return null
+    val tier = tier(work.className)
+    val searched = if (sameTarget) listOfNotNull(lanes[work.target]) else lanes.values
+    return searched
+        .flatMap { byClass -> byClass.entries.map { (name, lane) -> tier(name) to lane } }
+        .filter { (laneTier, lane) -> laneTier > tier && !lane.isEmpty }
+        .maxWithOrNull(compareBy({ it.first }, { it.second.requests }))
+        ?.second
+        ?.firstToShed()
+}
+
+private fun SchedulerState.largestQueueVictim(work: QueuedWork): QueuedWork? {
+    if (!policy.fairness) return null
+    val lane = lane(work.target, work.className)
+    val share = (lane.queueOf(work.organisation) + 1) / weight(work.organisation)
+    val victim = if (lane.longestQueue() > share) lane.firstToShed() else null
+    return victim?.takeIf { it.organisation != work.organisation }
+}
+
+private const val SHORTEST_RETRY_MILLISECONDS = 100L
+private const val LONGEST_RETRY_MILLISECONDS = 60_000L
--- /dev/null
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/SchedulerState.kt
@@ -0,0 +1,179 @@
+package hawthorncrank.scheduling.internal
+
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.scheduling.CapacityKind
+import hawthorncrank.scheduling.InFlightWork
+import hawthorncrank.scheduling.QueuedWork
+import hawthorncrank.scheduling.SchedulingPolicy
+import hawthorncrank.scheduling.WorkTarget
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+
+/**
+ * The scheduler's whole state. The functions here keep its parts consistent: every request that is queued stands in
+ * [queued], in its lane and in [byLatestStart]; every started one in [inFlight] and, while it may be preempted, in
+ * [victims].
+ */
+internal data class SchedulerState(
+    val policy: SchedulingPolicy,
+    val organisations: PersistentMap<String, Organisation> = persistentHashMapOf(),
+    val classes: PersistentMap<String, ClassState> = persistentHashMapOf(),
+    val lanes: PersistentMap<WorkTarget, PersistentMap<String, Lane>> = persistentHashMapOf(),
+    val queued: PersistentMap<Long, QueuedWork> = persistentHashMapOf(),
+    val queuedBytes: Long = 0,
+    val byLatestStart: OrderedMap<WorkKey, Long> = OrderedMap.empty(),
+    val latestStarts: PersistentMap<Long, Long> = persistentHashMapOf(),
+    val inFlight: PersistentMap<Long, InFlightWork> = persistentHashMapOf(),
+    val victims: PersistentMap<String, OrderedMap<VictimKey, Long>> = persistentHashMapOf(),
+    val limits: PersistentMap<String, OrganisationLimits> = persistentHashMapOf(),
+    val estimates: LengthEstimates = LengthEstimates(),
+    val speeds: SpeedEstimates = SpeedEstimates(),
+) {
+    fun classState(name: String): ClassState = classes[name] ?: ClassState(TrafficClass(name, LOWEST_TIER))
+
+    fun tier(className: String): Int = classState(className).settings.tier
+
+    fun organisation(name: String): Organisation =
+        organisations[name] ?: Organisation(name, region = "", classes = emptyList(), keyHashes = emptyList())
+
+    fun lane(
+        target: WorkTarget,
+        className: String,
+    ): Lane = lanes[target]?.get(className) ?: Lane()
+
+    fun standing(
+        className: String,
+        organisation: String,
+    ): Standing {
+        val account = classState(className).account(organisation)
+        val position = if (policy.fairness) account.virtualTime else 0.0
+        return Standing(position, account.lastStart, weight(organisation))
+    }
+
+    fun weight(organisation: String): Double = organisation(organisation).weight.coerceAtLeast(1).toDouble()
+
+    /** The last moment at which starting the request could still be useful (rule R6), or null without a deadline. */
+    fun latestStart(work: QueuedWork): Long? {
+        val finishBy = work.finishBy ?: return null
+        if (!policy.refuseUseless) return null
+        val shortest = estimates.quantile(member(work), FASTEST_QUANTILE) ?: return finishBy
+        val tokens = minOf(shortest, work.maximumTokens ?: shortest)
+        return finishBy - (tokens * speeds.fastestInterval(work.target)).toLong()
+    }
+
+    fun enqueue(work: QueuedWork): SchedulerState {
+        val latest = latestStart(work)
+        val state = classState(work.className)
+        val known = state.account(work.organisation)
+        val virtualTime = if (known.queued == 0) maxOf(known.virtualTime, state.virtualTime) else known.virtualTime
+        val account = known.copy(virtualTime = virtualTime, queued = known.queued + 1, active = known.active + 1)
+        val counted =
+            state
+                .copy(requests = state.requests + 1, bytes = state.bytes + work.bodyBytes)
+                .put(work.organisation, account)
+        val next =
+            copy(
+                classes = classes.put(work.className, counted),
+                queued = queued.put(work.requestNumber, work),
+                queuedBytes = queuedBytes + work.bodyBytes,
+                byLatestStart =
+                    latest?.let { byLatestStart.put(WorkKey(it, work.requestNumber), it) } ?: byLatestStart,
+                latestStarts = latest?.let { latestStarts.put(work.requestNumber, it) } ?: latestStarts,
+            )
+        return next.changeLane(work) { add(work, next.standing(work.className, work.organisation)) }
+    }
+
+    fun dequeue(work: QueuedWork): SchedulerState {
+        val state = classState(work.className)
+        val account = state.account(work.organisation)
+        val counted =
+            state
+                .copy(requests = state.requests - 1, bytes = state.bytes - work.bodyBytes)
+                .put(work.organisation, account.copy(queued = account.queued - 1, active = account.active - 1))
+        val latest = latestStarts[work.requestNumber]
+        val next =
+            copy(
+                classes = classes.put(work.className, counted),
+                queued = queued.remove(work.requestNumber),
+                queuedBytes = queuedBytes - work.bodyBytes,
+                byLatestStart = latest?.let { byLatestStart.remove(WorkKey(it, work.requestNumber)) } ?: byLatestStart,
+                latestStarts = latestStarts.remove(work.requestNumber),
+            )
+        return next.changeLane(work) { remove(work, next.standing(work.className, work.organisation)) }
+    }
+
+    /** Adds [tokens] (or takes them back) to what the organisation was served in the class. */
+    fun charge(
+        work: QueuedWork,
+        tokens: Int,
+    ): SchedulerState {
+        if (tokens == 0) return this
+        val state = classState(work.className)
+        val account = state.account(work.organisation)
+        val virtualTime = account.virtualTime + tokens / weight(work.organisation)
+        return copy(
+            classes =
+                classes.put(work.className, state.put(work.organisation, account.copy(virtualTime = virtualTime))),
+        ).reorder(work)
+    }
+
+    /** Moves the organisation to its place in every lane of the class where it waits. */
+    fun reorder(work: QueuedWork): SchedulerState {
+        val standing = standing(work.className, work.organisation)
+        var next = lanes
+        for ((target, byClass) in lanes) {
+            val lane = byClass[work.className] ?: continue
+            if (lane.queueOf(work.organisation) == 0) continue
+            next = next.put(target, byClass.put(work.className, lane.reorder(work.organisation, standing)))
+        }
+        return copy(lanes = next)
+    }
+
+    fun changeLane(
+        work: QueuedWork,
+        change: Lane.() -> Lane,
+    ): SchedulerState {
+        val byClass = lanes[work.target] ?: persistentHashMapOf()
+        val lane = (byClass[work.className] ?: Lane()).change()
+        return copy(lanes = lanes.put(work.target, byClass.put(work.className, lane)))
+    }
+
+    fun addVictim(running: InFlightWork): SchedulerState {
+        val mayBePreempted =
+            running.work.preemptable && running.capacity == CapacityKind.SHARED && !running.answerStarted
+        if (!mayBePreempted) return this
+        val ofUpstream = victims[running.upstream] ?: OrderedMap.empty()
+        return copy(victims = victims.put(running.upstream, ofUpstream.put(running.victimKey(), running.number)))
+    }
+
+    fun removeVictim(running: InFlightWork): SchedulerState {
+        val ofUpstream = victims[running.upstream]?.remove(running.victimKey()) ?: return this
+        return copy(
+            victims =
+                if (ofUpstream.isEmpty) victims.remove(running.upstream) else victims.put(running.upstream, ofUpstream),
+        )
+    }
+
+    /** The lowest tier that this entry could preempt on the upstream. */
+    fun preemptableTier(upstream: String): Int? = victims[upstream]?.first()?.key?.tier
+
+    private fun InFlightWork.victimKey() = VictimKey(tierAtStart, startedAt, number)
+
+    companion object {
+        /** The tier of a class that the configuration no longer names. */
+        const val LOWEST_TIER = 99
+
+        /** Rule R6 takes a length that nine in ten requests exceed: refusing a request that would finish is worse. */
+        const val FASTEST_QUANTILE = 0.1
+
+        fun member(work: QueuedWork) = ClassMember(work.className, work.organisation)
+    }
+}
+
+internal val InFlightWork.number: Long
+    get() = work.requestNumber
+
+/** [QueuedWork.tier] is the tier under which the work was last queued or started. */
+internal val InFlightWork.tierAtStart: Int
+    get() = work.tier
