--- /dev/null
+++ b/intents/src/main/kotlin/hawthorncrank/intents/DeltaWords.kt
@@ -0,0 +1,25 @@
+package hawthorncrank.intents
+
+import hawthorncrank.protocol.ConfigurationDelta
+import hawthorncrank.protocol.NamedChanges
+
+/** Says in words what a change of the configuration does, one line for each item, at most [limit] lines and a count. */
+fun describeDelta(
+    delta: ConfigurationDelta,
+    limit: Int = 20,
+): List<String> {
+    val lines =
+        describe("class", delta.classes) { it.name } +
+            describe("organisation", delta.organisations) { it.name } +
+            describe("upstream", delta.upstreams) { it.name } +
+            describe("service", delta.services) { it.name } +
+            listOfNotNull(delta.weightStore?.let { "weight store: ${it.loadsPerMinute} loads per minute" })
+    if (lines.size <= limit) return lines
+    return lines.take(limit) + "and ${lines.size - limit} more"
+}
+
+private fun <Item> describe(
+    kind: String,
+    changes: NamedChanges<Item>,
+    name: (Item) -> String,
+) = changes.changed.map { "$kind ${name(it)} set" } + changes.removed.map { "$kind $it removed" }
