--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -0,0 +1,195 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.entry.core.AttemptEnd
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.core.SilencePhase
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.util.concurrent.ScheduledFuture
+import org.reactivestreams.Subscription
+import reactor.core.publisher.BaseSubscriber
+import java.io.ByteArrayOutputStream
+import java.util.concurrent.TimeUnit
+
+/**
+ * One exchange with an upstream. It runs on [loop], reports to the control thread and passes its answer to [owner] only
+ * while the owner says that it is the current attempt. Silence counts only while the attempt waits for the upstream, not
+ * while the caller is slow.
+ */
+internal class Attempt(
+    val effect: EntryEffect.StartAttempt,
+    private val owner: Exchange,
+    private val loop: EventLoop,
+    private val now: () -> Long,
+    private val report: (EntryEvent) -> Unit,
+) : BaseSubscriber<UpstreamSignal>() {
+    private val framer = EventFramer()
+    private val collected = ByteArrayOutputStream()
+    private var head: UpstreamSignal.Head? = null
+    private var streaming = false
+    private var firstByteSeen = false
+    private var receivedBytes = 0L
+    private var lastProgress = 0L
+    private var waitingSince: Long? = null
+    private var wanted = 0L
+    private var watch: ScheduledFuture<*>? = null
+    private var ended = false
+
+    @Volatile var sent = false
+
+    val number: Long get() = effect.attemptNumber
+    var resumeToken: String? = null
+        private set
+
+    /** Asks for [count] more chunks. */
+    fun pull(count: Long) {
+        if (wanted == 0L) waitingSince = now()
+        wanted += count
+        request(count)
+    }
+
+    fun cancelByOrder() {
+        end(AttemptEnd.Cancelled(framer.tokens))
+        cancel()
+    }
+
+    override fun hookOnSubscribe(subscription: Subscription) {
+        pull(1)
+        watchSilence()
+    }
+
+    override fun hookOnNext(value: UpstreamSignal) {
+        if (ended) return
+        wanted = (wanted - 1).coerceAtLeast(0)
+        waitingSince = if (wanted == 0L) null else now()
+        when (value) {
+            is UpstreamSignal.Head -> begin(value)
+            is UpstreamSignal.Chunk -> receive(value.bytes)
+        }
+    }
+
+    override fun hookOnComplete() {
+        if (ended) return
+        when {
+            !streaming -> owner.completed(this, whole())
+            framer.done -> {
+                end(AttemptEnd.Completed(HTTP_OK, framer.tokens, receivedBytes, null))
+                owner.streamCompleted(this, framer.remainder())
+            }
+            // A stream that closes without its last event is a part of the answer, however properly it was closed.
+            else -> end(AttemptEnd.Broken(framer.tokens, receivedBytes))
+        }
+    }
+
+    override fun hookOnError(throwable: Throwable) {
+        if (ended) return
+        owner.attemptFailed(this, throwable)
+        end(if (sent) AttemptEnd.Broken(framer.tokens, receivedBytes) else AttemptEnd.NotConnected)
+    }
+
+    /** Reports the end once; whatever arrives later is discarded. */
+    fun end(end: AttemptEnd) {
+        if (ended) return
+        ended = true
+        watch?.cancel(false)
+        owner.attemptEnded(this)
+        report(EntryEvent.AttemptEnded(number, end))
+    }
+
+    private fun begin(arrived: UpstreamSignal.Head) {
+        head = arrived
+        parseLoad(arrived.headers.get(LOAD_HEADER))?.let { report(EntryEvent.LoadReported(effect.upstream, it)) }
+        if (refusesWork(arrived)) {
+            end(AttemptEnd.NotBegun(retryAfter(arrived.headers)))
+            return cancel()
+        }
+        resumeToken = arrived.headers.get(RESUME_TOKEN_HEADER)
+        streaming = owner.streamed && arrived.status == HTTP_OK &&
+            arrived.headers.get(CONTENT_TYPE, "").startsWith(EVENT_STREAM)
+        pull(if (streaming) 1 else Long.MAX_VALUE)
+    }
+
+    private fun receive(bytes: ByteArray) {
+        receivedBytes += bytes.size
+        if (!streaming) {
+            collected.write(bytes)
+            firstByte()
+            if (collected.size() > WHOLE_ANSWER_LIMIT_BYTES) {
+                owner.completed(this, tooLarge())
+                cancel()
+            }
+            return
+        }
+        val events = framer.accept(bytes)
+        if (!firstByteSeen && events.isEmpty()) return pull(1)
+        if (!firstByteSeen) owner.streamBegun(this)
+        firstByte()
+        owner.streamed(this, events)
+        progress()
+    }
+
+    private fun firstByte() {
+        if (firstByteSeen) return
+        firstByteSeen = true
+        lastProgress = now()
+        report(EntryEvent.AttemptFirstByte(number))
+    }
+
+    private fun progress() {
+        if (now() - lastProgress < PROGRESS_INTERVAL_MILLISECONDS) return
+        lastProgress = now()
+        report(EntryEvent.AttemptProgress(number, framer.tokens, receivedBytes))
+    }
+
+    private fun watchSilence() {
+        if (ended) return
+        val bound = if (firstByteSeen) effect.timeouts.betweenBytes else effect.timeouts.firstByte
+        val since = waitingSince
+        val silence = if (since == null) 0 else now() - since
+        if (silence < bound) {
+            watch = loop.schedule(::watchSilence, bound - silence, TimeUnit.MILLISECONDS)
+            return
+        }
+        val phase =
+            when {
+                firstByteSeen -> SilencePhase.BETWEEN_BYTES
+                sent -> SilencePhase.FIRST_BYTE
+                else -> SilencePhase.CONNECT
+            }
+        end(AttemptEnd.Silent(phase, framer.tokens, receivedBytes))
+        cancel()
+    }
+
+    private fun whole() = WholeAnswer(checkNotNull(head).status, checkNotNull(head).headers, collected.toByteArray())
+
+    private fun tooLarge(): WholeAnswer {
+        val body =
+            problemBody("the upstream's answer exceeds the entry's limit", "ask for a smaller or a streamed answer")
+        return WholeAnswer(HTTP_BAD_GATEWAY, JSON_HEADERS, body.toByteArray())
+    }
+
+    private fun refusesWork(arrived: UpstreamSignal.Head): Boolean =
+        arrived.status == HTTP_UNAVAILABLE ||
+            (arrived.status == HTTP_TOO_MANY_REQUESTS && arrived.headers.contains(RETRY_AFTER))
+
+    private fun retryAfter(headers: HttpHeaders): Long? = headers.get(RETRY_AFTER)?.toLongOrNull()?.times(1_000)
+
+    private companion object {
+        const val PROGRESS_INTERVAL_MILLISECONDS = 250L
+        const val WHOLE_ANSWER_LIMIT_BYTES = 16 shl 20
+        const val EVENT_STREAM = "text/event-stream"
+    }
+}
+
+/** An answer that is passed on in one piece. */
+internal class WholeAnswer(
+    val status: Int,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+)
+
+internal const val HTTP_OK = 200
+internal const val HTTP_TOO_MANY_REQUESTS = 429
+internal const val HTTP_BAD_GATEWAY = 502
+internal const val HTTP_UNAVAILABLE = 503
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -0,0 +1,181 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import hawthorncrank.common.EventLog
+import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.core.StatedOutcome
+import hawthorncrank.protocol.Organisation
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpHeaderNames
+import org.reactivestreams.Publisher
+import reactor.core.publisher.Flux
+import reactor.core.publisher.Mono
+import reactor.core.scheduler.Schedulers
+import reactor.netty.http.server.HttpServerRequest
+import reactor.netty.http.server.HttpServerResponse
+import java.io.ByteArrayOutputStream
+import java.time.Duration
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Takes callers' requests: verifies the key, receives the body within its limits, hands the request to the control
+ * thread and writes back whatever the exchange answers.
+ */
+internal class CallerServer(
+    private val entryName: String,
+    private val keys: KeyRing,
+    private val traffic: Traffic,
+    private val view: () -> ConfigurationView?,
+    private val bodyTime: Duration,
+    firstNumber: Long,
+    private val log: EventLog,
+) {
+    private val numbers = AtomicLong(firstNumber)
+    private val open = AtomicInteger()
+
+    /** Requests whose answer has not been written, including those whose body is still arriving. */
+    val openRequests: Int get() = open.get()
+
+    fun handle(
+        request: HttpServerRequest,
+        response: HttpServerResponse,
+    ): Publisher<Void> {
+        open.incrementAndGet()
+        return Flux.defer { accept(request, response) }.doFinally { open.decrementAndGet() }
+    }
+
+    private fun accept(
+        request: HttpServerRequest,
+        response: HttpServerResponse,
+    ): Publisher<Void> {
+        val current = view() ?: return write(response, rejectionAnswer(Rejection.NotReady))
+        val key = bearerKey(request) ?: return write(response, rejectionAnswer(Rejection.NoKey))
+        var loop: EventLoop? = null
+        request.withConnection { loop = it.channel().eventLoop() }
+        return keys.organisationOf(key).flatMapMany { result ->
+            result.fold(
+                success = { organisation -> receive(request, response, current, organisation, checkNotNull(loop)) },
+                failure = { write(response, rejectionAnswer(it)) },
+            )
+        }
+    }
+
+    private fun receive(
+        request: HttpServerRequest,
+        response: HttpServerResponse,
+        current: ConfigurationView,
+        organisation: Organisation,
+        loop: EventLoop,
+    ): Publisher<Void> =
+        body(request).publishOn(Schedulers.parallel()).flatMapMany { result ->
+            result.fold(
+                success = { bytes ->
+                    val received =
+                        ReceivedRequest(request.method(), request.uri(), request.requestHeaders(), bytes, organisation)
+                    exchange(received, response, current, loop)
+                },
+                failure = { write(response, rejectionAnswer(it)) },
+            )
+        }
+
+    private fun exchange(
+        received: ReceivedRequest,
+        response: HttpServerResponse,
+        current: ConfigurationView,
+        loop: EventLoop,
+    ): Publisher<Void> {
+        val number = numbers.getAndIncrement()
+        response.header(REQUEST_HEADER, "$entryName-$number")
+        return RequestReader(current, traffic.now).read(received, number).fold(
+            success = { read -> run(read, response, loop) },
+            failure = { write(response, it) },
+        )
+    }
+
+    private fun run(
+        read: ReadRequest,
+        response: HttpServerResponse,
+        loop: EventLoop,
+    ): Publisher<Void> {
+        val exchange = Exchange(read.decision.number, read.outgoing, loop, traffic, log)
+        traffic.register(exchange)
+        traffic.report(EntryEvent.RequestArrived(read.decision))
+        return exchange.answer
+            .flatMapMany { write(response, it) }
+            .doOnComplete { exchange.delivered() }
+            .doOnCancel { exchange.callerLeft() }
+            .doOnError { failure ->
+                log.record(
+                    EntryEventCode.EXCHANGE_FAILED,
+                    "request" to read.decision.number,
+                    "error" to failure,
+                )
+                exchange.callerLeft()
+            }
+    }
+
+    private fun write(
+        response: HttpServerResponse,
+        answer: CallerAnswer,
+    ): Publisher<Void> {
+        response.status(answer.status)
+        answer.headers.forEach { (name, value) -> response.addHeader(name, value) }
+        return when (answer) {
+            is CallerAnswer.Whole -> {
+                response.header(HttpHeaderNames.CONTENT_LENGTH, answer.body.size.toString())
+                response.sendByteArray(Mono.just(answer.body))
+            }
+            is CallerAnswer.Stream -> response.send(answer.body.map(::wrap)) { true }
+        }
+    }
+
+    private fun wrap(bytes: ByteArray): ByteBuf = Unpooled.wrappedBuffer(bytes)
+
+    private fun bearerKey(request: HttpServerRequest): String? {
+        val header = request.requestHeaders().get(HttpHeaderNames.AUTHORIZATION) ?: return null
+        if (!header.startsWith(BEARER, ignoreCase = true)) return null
+        return header.substring(BEARER.length).trim().ifEmpty { null }
+    }
+
+    private fun body(request: HttpServerRequest): Mono<Result<ByteArray, Rejection>> {
+        val announced = request.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull() ?: 0
+        if (announced > BODY_LIMIT_BYTES) return Mono.just(Err(Rejection.BodyTooLarge))
+        val chunks: Flux<ByteArray> = request.receive().asByteArray()
+        return chunks
+            .scanWith({ ByteArrayOutputStream() }) { collected, chunk -> collected.apply { write(chunk) } }
+            .takeUntil { it.size() > BODY_LIMIT_BYTES }
+            .last()
+            .map<Result<ByteArray, Rejection>> {
+                if (it.size() > BODY_LIMIT_BYTES) Err(Rejection.BodyTooLarge) else Ok(it.toByteArray())
+            }.timeout(bodyTime)
+            .onErrorReturn(TimeoutException::class.java, Err(Rejection.BodyTooSlow))
+    }
+
+    private companion object {
+        const val BEARER = "Bearer "
+        const val BODY_LIMIT_BYTES = 4 shl 20
+    }
+}
+
+internal fun rejectionAnswer(rejection: Rejection): CallerAnswer.Whole {
+    val answer =
+        problemAnswer(rejection.status, rejection, StatedOutcome.NOT_RUN, rejection.retryAfterMilliseconds)
+    // The rest of a body that was not received would otherwise be read as the next request.
+    val closes = rejection.status in setOf(401, 408, 413, 503)
+    return if (closes) {
+        CallerAnswer.Whole(
+            answer.status,
+            answer.headers + ("Connection" to "close"),
+            answer.body,
+        )
+    } else {
+        answer
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
@@ -0,0 +1,83 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.common.EventLog
+import hawthorncrank.common.MillisecondClock
+import hawthorncrank.common.Reducer
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.EntryEvent
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+
+/**
+ * The only thread that decides. It takes events in the order of their arrival, reduces each with the time at which it is
+ * taken, and hands the effects on. It sends [EntryEvent.Tick] itself, between other events when they are many.
+ */
+internal class ControlThread<State>(
+    private val reducer: Reducer<State, EntryEvent, EntryEffect>,
+    initial: State,
+    private val clock: MillisecondClock,
+    private val log: EventLog,
+    private val carryOut: (EntryEffect) -> Unit,
+) : AutoCloseable {
+    private val queue = LinkedBlockingQueue<EntryEvent>()
+    private var state = initial
+
+    @Volatile private var open = true
+    private val thread = Thread(::run, "entry-control").apply { isDaemon = true }
+
+    fun start() = thread.start()
+
+    fun send(event: EntryEvent) {
+        queue.add(event)
+    }
+
+    override fun close() {
+        open = false
+        thread.interrupt()
+    }
+
+    private fun run() {
+        var nextTick = clock.now() + TICK_MILLISECONDS
+        while (open) {
+            val wait = nextTick - clock.now()
+            val event =
+                if (wait <= 0) {
+                    nextTick = clock.now() + TICK_MILLISECONDS
+                    EntryEvent.Tick
+                } else {
+                    poll(wait)
+                }
+            event?.let(::reduce)
+        }
+    }
+
+    private fun poll(milliseconds: Long): EntryEvent? =
+        try {
+            queue.poll(milliseconds, TimeUnit.MILLISECONDS)
+        } catch (_: InterruptedException) {
+            null
+        }
+
+    // A fault in one decision must not end the thread: the state before it stays in force, and other requests go on.
+    private fun reduce(event: EntryEvent) {
+        val transition =
+            try {
+                reducer.reduce(state, event, clock.now())
+            } catch (failure: RuntimeException) {
+                log.record(EntryEventCode.REDUCER_FAILED, "decided" to event.javaClass.simpleName, "error" to failure)
+                return
+            }
+        state = transition.state
+        transition.effects.forEach { effect ->
+            try {
+                carryOut(effect)
+            } catch (failure: RuntimeException) {
+                log.record(EntryEventCode.EFFECT_FAILED, "effect" to effect.javaClass.simpleName, "error" to failure)
+            }
+        }
+    }
+
+    private companion object {
+        const val TICK_MILLISECONDS = 100L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
@@ -0,0 +1,65 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.common.EventLog
+import hawthorncrank.entry.core.AttemptEnd
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.core.StatedOutcome
+
+/** Carries out what the control thread decided. Nothing here blocks. */
+internal class EffectExecutor(
+    private val traffic: Traffic,
+    private val links: EntryLinks,
+    private val polls: UpstreamPolls,
+    private val metrics: EntryMetrics,
+    private val log: EventLog,
+    private val applyConfiguration: (ConfigurationView) -> Unit,
+    private val setReadiness: (Readiness) -> Unit,
+    private val terminate: () -> Unit,
+) {
+    fun carryOut(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.StartAttempt -> start(effect)
+            is EntryEffect.CancelAttempt -> traffic.cancel(effect.attemptNumber)
+            is EntryEffect.ReleaseAnswer -> traffic.exchange(effect.requestNumber)?.release(effect.recorded)
+            is EntryEffect.RefuseCaller ->
+                traffic.exchange(effect.requestNumber)?.refuse(refusalAnswer(effect.refusal), effect.refusal.problem)
+            is EntryEffect.ReplayAnswer -> traffic.exchange(effect.requestNumber)?.replay(replayed(effect))
+            is EntryEffect.BreakStream -> traffic.exchange(effect.requestNumber)?.breakStream(effect.reason)
+            is EntryEffect.SendToControl -> links.sendToControl(effect.message)
+            is EntryEffect.SendToZone -> links.sendToZone(effect.message, effect.recipient)
+            is EntryEffect.ProbeUpstream -> polls.probe(effect.upstream, effect.address)
+            is EntryEffect.ConfigurationApplied -> apply(effect)
+            is EntryEffect.ReadinessChanged -> ready(Readiness(effect.ready, effect.reason))
+            EntryEffect.Terminate -> terminate()
+            is EntryEffect.RecordEvent -> log.record(effect.event, effect.fields)
+            is EntryEffect.Measure -> metrics.record(effect.measurement)
+        }
+    }
+
+    // A caller that has left took its exchange with it; the attempt then ends before it sent anything.
+    private fun start(effect: EntryEffect.StartAttempt) {
+        val exchange = traffic.exchange(effect.requestNumber)
+        if (exchange == null) {
+            traffic.report(EntryEvent.AttemptEnded(effect.attemptNumber, AttemptEnd.NotConnected))
+        } else {
+            exchange.start(effect)
+        }
+    }
+
+    private fun apply(effect: EntryEffect.ConfigurationApplied) {
+        applyConfiguration(ConfigurationView(effect.version, effect.configuration))
+        log.record(EntryEventCode.CONFIGURATION_APPLIED, "version" to effect.version)
+    }
+
+    private fun ready(readiness: Readiness) {
+        setReadiness(readiness)
+        val event = if (readiness.ready) EntryEventCode.READY else EntryEventCode.NOT_READY
+        log.record(event, "reason" to readiness.reason)
+    }
+
+    private fun replayed(effect: EntryEffect.ReplayAnswer): CallerAnswer.Whole {
+        val headers = listOf(CONTENT_TYPE to effect.contentType, OUTCOME_HEADER to StatedOutcome.RAN.headerValue)
+        return CallerAnswer.Whole(effect.status, headers, effect.body ?: ByteArray(0))
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
@@ -0,0 +1,26 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.common.EventCode
+import org.apache.logging.log4j.Level
+
+/** The numbered log events of the entry program. */
+internal enum class EntryEventCode(
+    override val number: Int,
+    override val level: Level,
+    override val text: String,
+) : EventCode {
+    STARTED(1000, Level.INFO, "entry started"),
+    READY(1001, Level.INFO, "entry is ready"),
+    NOT_READY(1002, Level.WARN, "entry is not ready"),
+    STOP_REQUESTED(1003, Level.INFO, "stop requested"),
+    STOPPED(1004, Level.INFO, "entry stopped"),
+    CONFIGURATION_APPLIED(1005, Level.INFO, "configuration applied"),
+    CONTROL_LINK_OPENED(1006, Level.INFO, "control link opened"),
+    CONTROL_LINK_CLOSED(1007, Level.WARN, "control link closed"),
+    REQUEST_REJECTED(1008, Level.DEBUG, "request rejected before admission"),
+    REDUCER_FAILED(1009, Level.ERROR, "decision failed"),
+    EFFECT_FAILED(1010, Level.ERROR, "effect failed"),
+    POLL_FAILED(1011, Level.DEBUG, "poll failed"),
+    ATTEMPT_FAILED(1012, Level.INFO, "attempt at an upstream failed"),
+    EXCHANGE_FAILED(1013, Level.ERROR, "exchange with a caller failed"),
+}
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -0,0 +1,147 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onFailure
+import hawthorncrank.common.EventLog
+import hawthorncrank.common.MillisecondClock
+import hawthorncrank.common.Reducer
+import hawthorncrank.common.SettingsFailure
+import hawthorncrank.entry.Entry
+import hawthorncrank.entry.EntryProgramSettings
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.firstFailure
+import hawthorncrank.link.LinkFailure
+import reactor.core.publisher.Flux
+import reactor.netty.DisposableServer
+import java.time.Duration
+
+/** Connects the parts of an entry. The decisions come in as a reducer, so that a test can put its own in place. */
+internal class EntryProcess<State>(
+    private val settings: EntryProgramSettings,
+    clock: MillisecondClock,
+    private val log: EventLog,
+    reducer: Reducer<State, EntryEvent, EntryEffect>,
+    initial: State,
+    verify: (String, String) -> Boolean,
+    private val limits: ProcessLimits = ProcessLimits(),
+    client: UpstreamClient = upstreamClient(),
+) : Entry {
+    private val control: ControlThread<State> =
+        ControlThread(reducer, initial, clock, log) { effect -> effects.carryOut(effect) }
+    private val traffic = Traffic(client, clock::now, control::send)
+    private val keys = KeyRing(verify)
+    private val metrics = EntryMetrics()
+    private val links = EntryLinks(settings, control::send, log)
+    private val polls =
+        UpstreamPolls(settings.availabilityZone, settings.platformAddress, { view }, control::send, log)
+    private val effects: EffectExecutor =
+        EffectExecutor(traffic, links, polls, metrics, log, ::apply, { readiness = it }, ::terminated)
+
+    // Numbers of an earlier process of this entry must not return: claims and explanations refer to them.
+    private val firstNumber = clock.wallTime() * NUMBERS_PER_MILLISECOND
+    private val callers = CallerServer(settings.name, keys, traffic, { view }, limits.bodyTime, firstNumber, log)
+    private val operations = OperationsServer(metrics) { readiness }
+    private val servers = mutableListOf<DisposableServer>()
+
+    @Volatile private var view: ConfigurationView? = null
+
+    @Volatile private var readiness = Readiness(false, "no configuration yet")
+
+    @Volatile private var finished: () -> Unit = {}
+
+    override val httpPort: Int get() = servers[HTTP].port()
+    override val operationsPort: Int get() = servers[OPERATIONS].port()
+    val linkPort: Int get() = links.port
+
+    /** Opens every port and link, or none. */
+    fun open(file: String): Result<EntryProcess<State>, SettingsFailure> =
+        check(file)
+            .andThen { openHttp(file) }
+            .andThen { openOperations(file) }
+            .andThen { links.listen().mapError { inUse(file, it) } }
+            .andThen { links.connect().mapError { malformed(file, it) } }
+            .map {
+                metrics.gauge("hawthorncrank.requests.in.progress") { traffic.inProgress }
+                metrics.gauge("hawthorncrank.configuration.version") { view?.version ?: 0 }
+                control.start()
+                polls.start()
+                log.record(EntryEventCode.STARTED, "name" to settings.name, "port" to httpPort)
+                this
+            }.onFailure { close() }
+
+    override fun stop(finished: () -> Unit) {
+        this.finished = finished
+        log.record(EntryEventCode.STOP_REQUESTED, "in_progress" to traffic.inProgress)
+        control.send(EntryEvent.StopRequested)
+    }
+
+    fun send(event: EntryEvent) = control.send(event)
+
+    override fun close() {
+        polls.close()
+        links.close()
+        servers.forEach { it.disposeNow(Duration.ofSeconds(1)) }
+        control.close()
+        keys.close()
+    }
+
+    // Requests whose bodies are still arriving are unknown to the control thread; they get their refusal first.
+    private fun terminated() {
+        Flux
+            .interval(Duration.ZERO, DRAIN_CHECK_INTERVAL)
+            .takeUntil { callers.openRequests == 0 }
+            .subscribe({}, {}, { finished() })
+    }
+
+    private fun apply(applied: ConfigurationView) {
+        keys.replaceOrganisations(applied.configuration.organisations)
+        view = applied
+    }
+
+    private fun check(file: String): Result<Unit, SettingsFailure> =
+        settings.firstFailure(file)?.let { Err(it) } ?: Ok(Unit)
+
+    private fun openHttp(file: String): Result<Unit, SettingsFailure> {
+        val tls = settings.tlsCertificate?.let { TlsFiles(it, settings.tlsKey.orEmpty()) }
+        return openPort(file, "http_address", settings.httpAddress, limits.port, tls, callers::handle)
+            .map { servers += it }
+    }
+
+    private fun openOperations(file: String): Result<Unit, SettingsFailure> =
+        openPort(file, "operations_address", settings.operationsAddress, limits.port, null, operations::handle)
+            .map { servers += it }
+
+    private fun inUse(
+        file: String,
+        failure: LinkFailure,
+    ): SettingsFailure =
+        when (failure) {
+            is LinkFailure.AddressUnavailable -> SettingsFailure.PortInUse(file, "link_address", failure.address)
+            is LinkFailure.MalformedAddress ->
+                SettingsFailure.InvalidValue(file, "link_address", failure.problem, failure.remedy)
+        }
+
+    private fun malformed(
+        file: String,
+        failure: LinkFailure,
+    ): SettingsFailure = SettingsFailure.InvalidValue(file, "control or zone_entries", failure.problem, failure.remedy)
+
+    private companion object {
+        const val HTTP = 0
+        const val OPERATIONS = 1
+        val DRAIN_CHECK_INTERVAL: Duration = Duration.ofMillis(10)
+        const val NUMBERS_PER_MILLISECOND = 1_000L
+    }
+}
+
+/** Limits that tests shorten. */
+internal class ProcessLimits(
+    val bodyTime: Duration = Duration.ofSeconds(30),
+    val port: PortLimits = PortLimits(),
+)
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
@@ -0,0 +1,64 @@
+package hawthorncrank.entry.internal
+
+/**
+ * Cuts a stream of server-sent events after whole events, so that a caller never has half an event when a stream breaks
+ * and resumes or ends with an error. Holds back at most [MAXIMUM_EVENT_BYTES]; a longer event goes out in parts.
+ */
+internal class EventFramer {
+    private var rest = ByteArray(0)
+    private var lastLine = ""
+
+    /** Events that carried text. Engines send one for each token. */
+    var tokens = 0
+        private set
+
+    /** Whether the last line is the one that ends every complete answer. */
+    val done: Boolean get() = lastLine.trim() == "data: [DONE]"
+
+    fun accept(bytes: ByteArray): ByteArray {
+        val all = if (rest.isEmpty()) bytes else rest + bytes
+        val end = endOfWholeEvents(all)
+        if (end == 0 && all.size <= MAXIMUM_EVENT_BYTES) {
+            rest = all
+            return ByteArray(0)
+        }
+        val cut = if (end == 0) all.size else end
+        rest = all.copyOfRange(cut, all.size)
+        val whole = if (cut == all.size) all else all.copyOfRange(0, cut)
+        inspect(whole)
+        return whole
+    }
+
+    fun remainder(): ByteArray = rest.also { rest = ByteArray(0) }
+
+    private fun inspect(events: ByteArray) {
+        val text = events.decodeToString()
+        var position = text.indexOf(CONTENT)
+        while (position >= 0) {
+            tokens += 1
+            position = text.indexOf(CONTENT, position + CONTENT.length)
+        }
+        lastLine = text.trimEnd().substringAfterLast('\n')
+    }
+
+    private fun endOfWholeEvents(bytes: ByteArray): Int {
+        for (index in bytes.size - 1 downTo 1) {
+            if (bytes[index] == LINE_FEED && endsLine(bytes, index - 1)) return index + 1
+        }
+        return 0
+    }
+
+    private fun endsLine(
+        bytes: ByteArray,
+        index: Int,
+    ): Boolean =
+        bytes[index] == LINE_FEED ||
+            (index > 0 && bytes[index] == CARRIAGE_RETURN && bytes[index - 1] == LINE_FEED)
+
+    private companion object {
+        const val MAXIMUM_EVENT_BYTES = 1 shl 20
+        const val CONTENT = "\"content\":"
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val LINE_FEED = '\n'.code.toByte()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/KeyRing.kt
@@ -0,0 +1,90 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import hawthorncrank.protocol.Organisation
+import reactor.core.publisher.Mono
+import reactor.core.scheduler.Schedulers
+import java.security.MessageDigest
+import java.security.SecureRandom
+import java.util.Collections
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * Finds the organisation of a key of the form ORGANISATION.SECRET.
+ *
+ * Verifying a stored hash costs tens of milliseconds by design. Results, right and wrong, are cached under a fast
+ * digest with a salt of this process. Verifications run on [VERIFICATION_THREADS] threads, and each organisation may
+ * have [PENDING_PER_ORGANISATION] waiting, so that wrong keys for one name neither occupy the processor nor keep other
+ * organisations out.
+ */
+internal class KeyRing(
+    private val verify: (key: String, storedHash: String) -> Boolean,
+) : AutoCloseable {
+    private val salt = ByteArray(SALT_BYTES).also(SecureRandom()::nextBytes)
+    private val scheduler =
+        Schedulers.newBoundedElastic(VERIFICATION_THREADS, QUEUED_VERIFICATIONS, "key-verification", 60, true)
+    private val results: MutableMap<String, CheckedKey> = Collections.synchronizedMap(BoundedMap(CACHED_KEYS))
+    private val pending = ConcurrentHashMap<String, AtomicInteger>()
+
+    @Volatile private var organisations: Map<String, Organisation> = emptyMap()
+
+    fun replaceOrganisations(replacement: List<Organisation>) {
+        organisations = replacement.associateBy { it.name }
+    }
+
+    fun organisationOf(key: String): Mono<Result<Organisation, Rejection>> {
+        val organisation = organisations[key.substringBeforeLast('.', "")] ?: return Mono.just(Err(Rejection.WrongKey))
+        val digest = fastDigest(key)
+        val known = results[digest]
+        if (known != null && known.hashes == organisation.keyHashes) return Mono.just(known.result(organisation))
+        val waiting = pending.computeIfAbsent(organisation.name) { AtomicInteger() }
+        if (waiting.incrementAndGet() > PENDING_PER_ORGANISATION) {
+            waiting.decrementAndGet()
+            return Mono.just(Err(Rejection.KeyChecksBusy))
+        }
+        return Mono
+            .fromCallable {
+                CheckedKey(organisation.keyHashes, organisation.keyHashes.any { verify(key, it) })
+                    .also { results[digest] = it }
+                    .result(organisation)
+            }.subscribeOn(scheduler)
+            .onErrorReturn(RejectedExecutionException::class.java, Err(Rejection.KeyChecksBusy))
+            .doFinally { waiting.decrementAndGet() }
+    }
+
+    override fun close() = scheduler.dispose()
+
+    private fun fastDigest(key: String): String {
+        val digest = MessageDigest.getInstance("SHA-256")
+        digest.update(salt)
+        return digest.digest(key.toByteArray()).toHex()
+    }
+
+    private class CheckedKey(
+        val hashes: List<String>,
+        val valid: Boolean,
+    ) {
+        fun result(organisation: Organisation): Result<Organisation, Rejection> =
+            if (valid) Ok(organisation) else Err(Rejection.WrongKey)
+    }
+
+    private class BoundedMap<Key, Value>(
+        private val capacity: Int,
+    ) : LinkedHashMap<Key, Value>(16, 0.75f, true) {
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Key, Value>): Boolean = size > capacity
+    }
+
+    private companion object {
+        const val SALT_BYTES = 16
+        const val VERIFICATION_THREADS = 2
+        const val QUEUED_VERIFICATIONS = 1_000
+        const val PENDING_PER_ORGANISATION = 4
+        const val CACHED_KEYS = 20_000
+    }
+}
+
+internal fun ByteArray.toHex(): String = joinToString("") { "%02x".format(it) }
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
@@ -0,0 +1,77 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.common.Failure
+
+/** Why a request is turned away before the control thread hears of it. None of these ran. */
+internal sealed class Rejection(
+    val status: Int,
+    override val problem: String,
+    override val remedy: String,
+    val retryAfterMilliseconds: Long? = null,
+) : Failure {
+    data object NoKey : Rejection(
+        401,
+        "the request names no organisation",
+        "send the header \"Authorization: Bearer ORGANISATION.SECRET\"",
+    )
+
+    data object WrongKey : Rejection(
+        401,
+        "the key is not valid",
+        "check the key, which has the form ORGANISATION.SECRET, or ask the operator for a new one",
+    )
+
+    data object KeyChecksBusy : Rejection(
+        503,
+        "too many keys wait for verification",
+        "send the request again after the time in Retry-After",
+        retryAfterMilliseconds = 1_000,
+    )
+
+    data object NoSuchPath : Rejection(
+        404,
+        "no service has this path",
+        "use POST /v1/chat/completions or the path of a configured service",
+    )
+
+    data object WrongMethod : Rejection(405, "this path takes POST only", "send the request with POST")
+
+    data object BodyTooLarge : Rejection(413, "the body exceeds 4 MiB", "send a smaller request")
+
+    data object BodyTooSlow : Rejection(408, "the body did not arrive within 30 s", "send the request faster")
+
+    class NotAModelRequest(
+        detail: String,
+    ) : Rejection(400, detail, "send a JSON object with \"model\" and \"messages\"")
+
+    data object KeyMissing : Rejection(
+        400,
+        "this call is not idempotent and has no Idempotency-Key header",
+        "send the header \"Idempotency-Key\" with a key that is unique to this call, and the same key on a resend",
+    )
+
+    data object KeyMalformed : Rejection(
+        400,
+        "the Idempotency-Key header is empty or longer than 256 characters",
+        "use a key of 1 to 256 characters",
+    )
+
+    data object WrongDeadline : Rejection(
+        400,
+        "the header $DEADLINE_HEADER is not a positive whole number",
+        "write the time left in milliseconds",
+    )
+
+    data object NoModelClass : Rejection(
+        403,
+        "the organisation has no class for model requests",
+        "ask the operator to attach one",
+    )
+
+    data object NotReady : Rejection(
+        503,
+        "this entry has no configuration yet",
+        "send the request again; the load balancer chooses another entry",
+        retryAfterMilliseconds = 1_000,
+    )
+}
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
@@ -0,0 +1,150 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import hawthorncrank.entry.core.CallerRequest
+import hawthorncrank.entry.core.Refusal
+import hawthorncrank.entry.core.RequestTarget
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.ServiceRoute
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import java.security.MessageDigest
+
+/** A request as it arrived, with its whole body, from a caller whose key was verified. */
+internal class ReceivedRequest(
+    val method: HttpMethod,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+    val organisation: Organisation,
+) {
+    val path: String get() = uri.substringBefore('?')
+}
+
+/** The two views of a request: what is decided on, and what is sent. */
+internal class ReadRequest(
+    val decision: CallerRequest,
+    val outgoing: OutgoingRequest,
+)
+
+/** Checks a received request and describes it to the control thread. */
+internal class RequestReader(
+    private val view: ConfigurationView,
+    private val now: () -> Long,
+) {
+    fun read(
+        received: ReceivedRequest,
+        number: Long,
+    ): Result<ReadRequest, CallerAnswer.Whole> =
+        if (received.path == COMPLETIONS_PATH) {
+            readModelRequest(received, number)
+        } else {
+            val route = view.route(received.path) ?: return rejected(Rejection.NoSuchPath)
+            readServiceCall(received, route, number)
+        }
+
+    private fun readModelRequest(
+        received: ReceivedRequest,
+        number: Long,
+    ): Result<ReadRequest, CallerAnswer.Whole> {
+        if (received.method != HttpMethod.POST) return rejected(Rejection.WrongMethod)
+        val requested = received.headers.get(CLASS_HEADER) ?: view.firstModelClass(received.organisation)
+        val className = requested ?: return rejected(Rejection.NoModelClass)
+        val model = ModelRequest.parse(received.body).getOrElse { return rejected(it) }
+        return describe(received, number, className, model.target, model.target.model, model.streamed).map { decision ->
+            val outgoing =
+                OutgoingRequest(
+                    method = received.method,
+                    uri = received.uri,
+                    headers = outgoingHeaders(received.headers),
+                    idempotent = true,
+                    streamed = model.streamed,
+                    body = model::body,
+                )
+            ReadRequest(decision, outgoing)
+        }
+    }
+
+    private fun readServiceCall(
+        received: ReceivedRequest,
+        route: ServiceRoute,
+        number: Long,
+    ): Result<ReadRequest, CallerAnswer.Whole> {
+        val idempotent = received.method.name() in route.idempotentMethods
+        val key = received.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if (!idempotent && key == null) return rejected(Rejection.KeyMissing)
+        if (key != null && key.length !in 1..MAXIMUM_KEY_LENGTH) return rejected(Rejection.KeyMalformed)
+        val target = RequestTarget.Service(route.service, idempotent, key)
+        val content = "${received.method} ${received.uri}"
+        return describe(received, number, route.className, target, content, streamed = false).map { decision ->
+            val outgoing =
+                OutgoingRequest(
+                    method = received.method,
+                    uri = received.uri,
+                    headers = outgoingHeaders(received.headers),
+                    idempotent = idempotent,
+                    streamed = false,
+                    body = { _, _ -> received.body },
+                )
+            ReadRequest(decision, outgoing)
+        }
+    }
+
+    private fun describe(
+        received: ReceivedRequest,
+        number: Long,
+        className: String,
+        target: RequestTarget,
+        content: String,
+        streamed: Boolean,
+    ): Result<CallerRequest, CallerAnswer.Whole> {
+        val trafficClass = view.trafficClass(className)
+        if (trafficClass == null || className !in received.organisation.classes) {
+            return Err(refusalAnswer(Refusal.NotPermitted(className)))
+        }
+        return deadline(received.headers).andThen { timeLeft ->
+            val allowed = listOfNotNull(timeLeft, trafficClass.finishBy?.value).minOrNull()
+            Ok(
+                CallerRequest(
+                    number = number,
+                    organisation = received.organisation.name,
+                    className = className,
+                    target = target,
+                    contentDigest = contentDigest(received.organisation.name, content, received.body),
+                    bodyBytes = received.body.size,
+                    streamed = streamed,
+                    finishBy = allowed?.let { now() + it },
+                ),
+            )
+        }
+    }
+
+    private fun deadline(headers: HttpHeaders): Result<Long?, CallerAnswer.Whole> {
+        val text = headers.get(DEADLINE_HEADER) ?: return Ok(null)
+        val milliseconds = text.toLongOrNull()?.takeIf { it in 1..MAXIMUM_DEADLINE_MILLISECONDS }
+        return if (milliseconds == null) rejected(Rejection.WrongDeadline) else Ok(milliseconds)
+    }
+
+    private fun rejected(rejection: Rejection) = Err(rejectionAnswer(rejection))
+
+    companion object {
+        const val COMPLETIONS_PATH = "/v1/chat/completions"
+        private const val MAXIMUM_KEY_LENGTH = 256
+        private const val MAXIMUM_DEADLINE_MILLISECONDS = 7L * 24 * 3_600 * 1_000
+    }
+}
+
+private fun contentDigest(
+    organisation: String,
+    content: String,
+    body: ByteArray,
+): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    digest.update("$organisation\n$content\n".toByteArray())
+    return digest.digest(body).toHex()
+}
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Traffic.kt
@@ -0,0 +1,68 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.entry.core.EntryEvent
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import java.util.concurrent.ConcurrentHashMap
+
+/** The exchanges and attempts in progress, for the control thread's effects to find them by number. */
+internal class Traffic(
+    val client: UpstreamClient,
+    val now: () -> Long,
+    val report: (EntryEvent) -> Unit,
+) {
+    private val exchanges = ConcurrentHashMap<Long, Exchange>()
+    private val attempts = ConcurrentHashMap<Long, AttemptOwner>()
+
+    val inProgress: Int get() = exchanges.size
+
+    fun register(exchange: Exchange) {
+        exchanges[exchange.number] = exchange
+    }
+
+    fun register(
+        attempt: Attempt,
+        exchange: Exchange,
+    ) {
+        attempts[attempt.number] = AttemptOwner(attempt, exchange)
+    }
+
+    fun exchange(requestNumber: Long): Exchange? = exchanges[requestNumber]
+
+    fun cancel(attemptNumber: Long) {
+        val owner = attempts[attemptNumber] ?: return
+        owner.exchange.cancel(owner.attempt)
+    }
+
+    fun remove(attempt: Attempt) {
+        attempts.remove(attempt.number)
+    }
+
+    fun forget(exchange: Exchange) {
+        exchanges.remove(exchange.number)
+    }
+
+    private class AttemptOwner(
+        val attempt: Attempt,
+        val exchange: Exchange,
+    )
+}
+
+/** The tokens that an engine says it generated for a whole answer, or 0. */
+internal fun generatedTokens(answer: WholeAnswer): Int =
+    try {
+        lenient.decodeFromString<AnswerWithUsage>(answer.body.decodeToString()).usage?.completionTokens ?: 0
+    } catch (_: IllegalArgumentException) {
+        0
+    }
+
+@Serializable
+private data class AnswerWithUsage(
+    val usage: Usage? = null,
+)
+
+@Serializable
+private data class Usage(
+    @SerialName("completion_tokens")
+    val completionTokens: Int = 0,
+)
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -0,0 +1,95 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.entry.core.EntryEffect
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelOption
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import reactor.core.publisher.Flux
+import reactor.core.publisher.Mono
+import reactor.netty.http.client.HttpClient
+import reactor.netty.resources.ConnectionProvider
+import java.time.Duration
+
+/** What arrives from an upstream, in order: one head, then the chunks of the body. */
+internal sealed interface UpstreamSignal {
+    class Head(
+        val status: Int,
+        val headers: HttpHeaders,
+    ) : UpstreamSignal
+
+    class Chunk(
+        val bytes: ByteArray,
+    ) : UpstreamSignal
+}
+
+/**
+ * Sends one request and gives back its answer with back-pressure. It never sends a request twice: whether that is
+ * allowed is the control thread's decision.
+ */
+internal fun interface UpstreamClient {
+    /** [sent] is called before the first byte of the request leaves this process. */
+    fun exchange(
+        attempt: EntryEffect.StartAttempt,
+        request: OutgoingRequest,
+        body: ByteArray,
+        sent: () -> Unit,
+    ): Flux<UpstreamSignal>
+}
+
+/**
+ * Creates the client of a running entry. Non-idempotent calls have their own pool, whose connections are dropped 2 s
+ * after their last use, because an older one may have gone silent and would leave the outcome unknown.
+ */
+internal fun upstreamClient(): UpstreamClient {
+    val pool = connections("upstream", IDLE_LIMIT)
+    val freshPool = connections("upstream-fresh", FRESH_LIMIT)
+    return UpstreamClient { attempt, request, body, sent ->
+        HttpClient
+            .create(if (request.idempotent) pool else freshPool)
+            .disableRetry(true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
+            .doOnRequest { _, _ -> sent() }
+            .headers { headers -> setHeaders(headers, attempt, request, body) }
+            .request(request.method)
+            .uri("http://${attempt.address}${request.uri}")
+            .send(Mono.just(Unpooled.wrappedBuffer(body)))
+            .response { response, content ->
+                val head = UpstreamSignal.Head(response.status().code(), response.responseHeaders())
+                Flux.concat(Mono.just(head), content.asByteArray().map { UpstreamSignal.Chunk(it) })
+            }
+    }
+}
+
+private fun setHeaders(
+    headers: HttpHeaders,
+    attempt: EntryEffect.StartAttempt,
+    request: OutgoingRequest,
+    body: ByteArray,
+) {
+    request.headers.forEach { (name, value) -> headers.add(name, value) }
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+    attempt.claimNumber?.let { headers.set(CLAIM_HEADER, it) }
+    attempt.deadlineMilliseconds?.let { headers.set(DEADLINE_HEADER, it) }
+}
+
+private fun connections(
+    name: String,
+    idleLimit: Duration,
+): ConnectionProvider =
+    ConnectionProvider
+        .builder(name)
+        .maxConnections(CONNECTIONS_PER_UPSTREAM)
+        .pendingAcquireTimeout(PENDING_ACQUIRE_LIMIT)
+        .maxIdleTime(idleLimit)
+        .evictInBackground(EVICTION_INTERVAL)
+        .lifo()
+        .build()
+
+private val IDLE_LIMIT = Duration.ofSeconds(15)
+private val FRESH_LIMIT = Duration.ofSeconds(2)
+private val PENDING_ACQUIRE_LIMIT = Duration.ofSeconds(1)
+private val EVICTION_INTERVAL = Duration.ofSeconds(5)
+
+// Above any engine's share for one entry, so that the scheduler and not the pool decides what waits.
+private const val CONNECTIONS_PER_UPSTREAM = 500
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamHeaders.kt
@@ -0,0 +1,62 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.entry.core.LoadReport
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Headers of an upstream's answer that go on to the caller. */
+internal fun forwardedHeaders(headers: HttpHeaders): List<Pair<String, String>> =
+    headers.entries().filterNot { (name, _) -> withheld(name) }.map { it.key to it.value }
+
+/** Headers of a caller's request that go on to an upstream. The caller's key never does. */
+internal fun outgoingHeaders(headers: HttpHeaders): List<Pair<String, String>> =
+    headers
+        .entries()
+        .filterNot { (name, _) -> withheld(name) || name.lowercase() in CALLER_ONLY }
+        .map { it.key to it.value }
+
+/** Reads an engine's load report; null when it is absent or malformed. */
+internal fun parseLoad(text: String?): LoadReport? =
+    try {
+        text?.let { lenient.decodeFromString<ReportedLoad>(it) }?.let {
+            LoadReport(it.sequence, it.running, it.queued, it.slots, it.tokenInterval)
+        }
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+
+internal val JSON_HEADERS: HttpHeaders = DefaultHttpHeaders().add(CONTENT_TYPE, "application/json")
+
+internal val lenient = Json { ignoreUnknownKeys = true }
+
+private fun withheld(name: String): Boolean {
+    val lowercase = name.lowercase()
+    return lowercase in CONNECTION_HEADERS || lowercase.startsWith("hawthorncrank-")
+}
+
+@Serializable
+private data class ReportedLoad(
+    val sequence: Long,
+    val running: Int,
+    val queued: Int,
+    val slots: Int,
+    @SerialName("token_interval")
+    val tokenInterval: Double? = null,
+)
+
+private val CONNECTION_HEADERS =
+    setOf(
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+private val CALLER_ONLY = setOf("authorization", "host", "expect")
