Read handshake refusals of the two link ends from separate queues in the test

Cause: both ends of a refused handshake log on their own threads, and the test took whichever refusal came first, so the server's end of stream could stand in for the client's "the fleet keys differ". Seen once in a loaded build run. Ruled out: a fault of the handshake; the client had verified and refused. The test asserts the same text on the client's own log.

--- a/link/src/test/kotlin/hawthorncrank/link/LinkTest.kt
+++ b/link/src/test/kotlin/hawthorncrank/link/LinkTest.kt
@@ -18,10 +18,9 @@
 
 class LinkTest {
     private val refusals = LinkedBlockingQueue<String>()
-    private val eventLog =
-        EventLog { event, fields ->
-            if (event == LinkEventCode.HANDSHAKE_REFUSED) refusals.add(fields["reason"].toString())
-        }
+    private val clientRefusals = LinkedBlockingQueue<String>()
+    private val eventLog = refusalsInto(refusals)
+    private val clientEventLog = refusalsInto(clientRefusals)
     private val atServer = RecordingListener()
     private val atClient = RecordingListener()
 
@@ -45,7 +44,7 @@
     fun `an end with another fleet key is refused and hears nothing`() =
         withServer { server ->
             clientOf(server, fleetKey = "wrong").use {
-                assertEquals("the fleet keys differ", awaitRefusal())
+                assertEquals("the fleet keys differ", awaitRefusal(clientRefusals))
                 assertFalse(atServer.hasOpened())
                 assertFalse(atClient.hasOpened())
             }
@@ -89,7 +88,7 @@
         withServer { first ->
             withServer { second ->
                 val addresses = listOf(first, second).map { "127.0.0.1:${it.port}" }
-                linkClient(clientSettings, addresses, atClient, eventLog).unwrap().use {
+                linkClient(clientSettings, addresses, atClient, clientEventLog).unwrap().use {
                     atClient.awaitOpened()
                     first.close()
                     atClient.awaitClosed()
@@ -111,7 +110,14 @@
         )
     }
 
-    private fun awaitRefusal(): String = assertNotNull(refusals.poll(20, TimeUnit.SECONDS), "no handshake was refused")
+    /** The ends log on their own threads, so each has its own queue. */
+    private fun refusalsInto(queue: LinkedBlockingQueue<String>) =
+        EventLog { event, fields ->
+            if (event == LinkEventCode.HANDSHAKE_REFUSED) queue.add(fields["reason"].toString())
+        }
+
+    private fun awaitRefusal(queue: LinkedBlockingQueue<String> = refusals): String =
+        assertNotNull(queue.poll(20, TimeUnit.SECONDS), "no handshake was refused")
 
     private fun withServer(
         settings: LinkSettings = serverSettings,
@@ -125,7 +131,7 @@
         heartbeatMilliseconds: Long = 1_000,
     ): LinkClient {
         val settings = clientSettings.copy(fleetKey = fleetKey, heartbeatMilliseconds = heartbeatMilliseconds)
-        return linkClient(settings, listOf("127.0.0.1:${server.port}"), atClient, eventLog).unwrap()
+        return linkClient(settings, listOf("127.0.0.1:${server.port}"), atClient, clientEventLog).unwrap()
     }
 
     private companion object {
