Apply the control group's commands to a replicated state

The state machine is a pure function of state and command. Retention is measured on a clock that commands carry and that never runs faster than real time; wall time was ruled out for it, since one wrong clock would make the group forget claims and let a resend run twice. An abandoned attempt is remembered, because a claim request may arrive after the abandonment and would then block the key.

--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
@@ -0,0 +1,160 @@
+package hawthorncrank.control
+
+import hawthorncrank.common.KeyHash
+import hawthorncrank.control.ConfigurationFailure.DuplicateName
+import hawthorncrank.control.ConfigurationFailure.InvalidName
+import hawthorncrank.control.ConfigurationFailure.InvalidValue
+import hawthorncrank.control.ConfigurationFailure.MalformedAddress
+import hawthorncrank.control.ConfigurationFailure.MalformedKeyHash
+import hawthorncrank.control.ConfigurationFailure.Missing
+import hawthorncrank.control.ConfigurationFailure.OutOfRange
+import hawthorncrank.control.ConfigurationFailure.UnknownReference
+import hawthorncrank.intents.HIGHEST_TIER
+import hawthorncrank.intents.LOWEST_TIER
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.ServiceRoute
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.UpstreamKind
+
+/** Finds what is wrong with a configuration; an empty list means that it may be accepted. */
+fun validateConfiguration(configuration: Configuration): List<ConfigurationFailure> {
+    val classes = configuration.classes.mapTo(HashSet()) { it.name }
+    val services = configuration.services.mapTo(HashSet()) { it.service }
+    return missing(configuration) +
+        names("classes", configuration.classes.map { it.name }) +
+        names("organisations", configuration.organisations.map { it.name }) +
+        names("upstreams", configuration.upstreams.map { it.name }) +
+        names("services", configuration.services.map { it.name }) +
+        configuration.classes.flatMap(::validateClass) +
+        configuration.organisations.flatMap { validateOrganisation(it, classes) } +
+        configuration.upstreams.flatMap { validateUpstream(it, services) } +
+        configuration.services.flatMap { validateService(it, classes) } +
+        range("weight_store.loads_per_minute", configuration.weightStore.loadsPerMinute, 1, MAXIMUM_LOADS_PER_MINUTE)
+}
+
+private fun missing(configuration: Configuration): List<ConfigurationFailure> =
+    listOfNotNull(
+        Missing("classes", "add at least one [[classes]] table").takeIf { configuration.classes.isEmpty() },
+        Missing("organisations", "add at least one [[organisations]] table, or nobody may call")
+            .takeIf { configuration.organisations.isEmpty() },
+    )
+
+private fun names(
+    field: String,
+    names: List<String>,
+): List<ConfigurationFailure> {
+    val seen = HashSet<String>()
+    return names.filter { !seen.add(it) }.distinct().map { DuplicateName(field, it) } +
+        names.filter { !NAME.matches(it) }.map { InvalidName(field, it) }
+}
+
+private fun validateClass(item: TrafficClass): List<ConfigurationFailure> {
+    val field = "classes.${item.name}"
+    val targets =
+        listOfNotNull(
+            item.firstToken?.let { "first_token" to it.value },
+            item.betweenTokens?.let { "between_tokens" to it.value },
+            item.finishBy?.let { "finish_by" to it.value },
+        )
+    return range("$field.tier", item.tier, HIGHEST_TIER, LOWEST_TIER) +
+        range("$field.floor_slots", item.floorSlots, 1, MAXIMUM_SLOTS) +
+        range("$field.queue_requests", item.queueRequests, 1, MAXIMUM_QUEUE_REQUESTS) +
+        range("$field.queue_size", item.queueSize.bytes, 1, MAXIMUM_QUEUE_BYTES) +
+        targets.flatMap { (name, value) -> range("$field.$name", value, 1, MAXIMUM_TARGET_MILLISECONDS) }
+}
+
+private fun validateOrganisation(
+    item: Organisation,
+    classes: Set<String>,
+): List<ConfigurationFailure> {
+    val field = "organisations.${item.name}"
+    return listOfNotNull(
+        Missing("$field.region", "write the region whose engines are nearest").takeIf { item.region.isBlank() },
+        Missing("$field.classes", "write the classes that the organisation may use").takeIf { item.classes.isEmpty() },
+        MalformedKeyHash("$field.api_key_hashes").takeIf { item.keyHashes.any { !KeyHash.isWellFormed(it) } },
+    ) +
+        item.classes.filter { it !in classes }.map { UnknownReference("$field.classes", it, "class") } +
+        range("$field.weight", item.weight, 1, MAXIMUM_WEIGHT) +
+        range("$field.requests_in_flight", item.requestsInFlight, 1, MAXIMUM_LIMIT) +
+        range("$field.requests_per_second", item.requestsPerSecond, 1, MAXIMUM_LIMIT) +
+        range("$field.tokens_per_second", item.tokensPerSecond, 1, MAXIMUM_TOKENS_PER_SECOND)
+}
+
+private fun validateUpstream(
+    item: Upstream,
+    services: Set<String>,
+): List<ConfigurationFailure> {
+    val field = "upstreams.${item.name}"
+    return listOfNotNull(
+        MalformedAddress("$field.address", item.address).takeIf { !isAddress(item.address) },
+        Missing("$field.availability_zone", "write the zone of its VM").takeIf { item.availabilityZone.isBlank() },
+        Missing("$field.region", "write the region of its VM").takeIf { item.region.isBlank() },
+    ) + range("$field.slots", item.slots, 1, MAXIMUM_SLOTS) + validateKind(field, item, services)
+}
+
+private fun validateKind(
+    field: String,
+    item: Upstream,
+    services: Set<String>,
+): List<ConfigurationFailure> {
+    val service = item.service
+    return when (item.kind) {
+        UpstreamKind.ENGINE ->
+            listOfNotNull(
+                InvalidValue("$field.service", "an engine serves no service", "remove it or write kind = \"service\"")
+                    .takeIf { service != null },
+            )
+
+        UpstreamKind.SERVICE ->
+            listOfNotNull(
+                Missing("$field.service", "write the name of a service").takeIf { service == null },
+                service?.takeIf { it !in services }?.let { UnknownReference("$field.service", it, "service") },
+                InvalidValue("$field.models", "a service serves no models", "remove them or write kind = \"engine\"")
+                    .takeIf { item.models.isNotEmpty() },
+            )
+    }
+}
+
+private fun validateService(
+    item: ServiceRoute,
+    classes: Set<String>,
+): List<ConfigurationFailure> {
+    val field = "services.${item.name}"
+    return listOfNotNull(
+        UnknownReference("$field.class", item.className, "class").takeIf { item.className !in classes },
+        InvalidValue("$field.path_prefix", "\"${item.pathPrefix}\" is not a path", "begin it with a slash")
+            .takeIf { !item.pathPrefix.startsWith("/") },
+    )
+}
+
+/** Whether [text] is an IP address and a port. Host names are not accepted: processes connect by address. */
+fun isAddress(text: String): Boolean {
+    val match = ADDRESS.matchEntire(text) ?: return false
+    val numbers = match.groupValues.drop(1).map(String::toInt)
+    return numbers.dropLast(1).all { it <= MAXIMUM_ADDRESS_PART } && numbers.last() in 1..MAXIMUM_PORT
+}
+
+private fun range(
+    field: String,
+    value: Number,
+    minimum: Number,
+    maximum: Number,
+): List<ConfigurationFailure> {
+    if (value.toLong() in minimum.toLong()..maximum.toLong()) return emptyList()
+    return listOf(OutOfRange(field, value.toLong(), minimum.toLong(), maximum.toLong()))
+}
+
+private const val MAXIMUM_SLOTS = 4_096
+private const val MAXIMUM_QUEUE_REQUESTS = 100_000
+private const val MAXIMUM_QUEUE_BYTES = 1L shl 30
+private const val MAXIMUM_TARGET_MILLISECONDS = 24L * 60 * 60 * 1_000
+private const val MAXIMUM_WEIGHT = 1_000
+private const val MAXIMUM_LIMIT = 100_000
+private const val MAXIMUM_TOKENS_PER_SECOND = 100_000_000
+private const val MAXIMUM_LOADS_PER_MINUTE = 6_000
+private const val MAXIMUM_ADDRESS_PART = 255
+private const val MAXIMUM_PORT = 65_535
+private val NAME = Regex("""[\p{L}\p{N} ._-]{1,64}""")
+private val ADDRESS = Regex("""(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})""")
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
@@ -0,0 +1,170 @@
+package hawthorncrank.control
+
+import hawthorncrank.intents.Plan
+import hawthorncrank.protocol.CallOutcome
+import hawthorncrank.protocol.ClaimKey
+import hawthorncrank.protocol.ConfigurationDelta
+import hawthorncrank.protocol.EngineOrder
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * One command of the replicated log. A command that is committed twice under one [identifier] takes effect once.
+ *
+ * [clock] is the proposer's estimate of the replicated clock and never runs faster than real time: it is the value that
+ * the proposer applied last plus the time since. [wallTime] only goes into records that people read and into the end of
+ * timed plans, so a replica with a wrong wall clock cannot make the group forget a claim.
+ */
+@Serializable
+data class ControlCommand(
+    val identifier: String,
+    val by: String,
+    val clock: Long,
+    val wallTime: Long,
+    val operation: ControlOperation,
+)
+
+/** What a command does. Serial names are short because every log record and every message between replicas has one. */
+@Serializable
+sealed interface ControlOperation {
+    @Serializable
+    @SerialName("configure")
+    data class ChangeConfiguration(
+        val reason: String,
+        val delta: ConfigurationDelta,
+        val stagedParts: Int = 0,
+    ) : ControlOperation
+
+    /** One part of a change that is too large for one record. It takes effect with the command named [change]. */
+    @Serializable
+    @SerialName("part")
+    data class StageChange(
+        val change: String,
+        val part: Int,
+        val delta: ConfigurationDelta,
+    ) : ControlOperation
+
+    /** Asks for a claim; the command's identifier is the attempt's. */
+    @Serializable
+    @SerialName("claim")
+    data class Claim(
+        val key: ClaimKey,
+        val requestDigest: String,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("outcome")
+    data class RecordOutcome(
+        val key: ClaimKey,
+        val claimNumber: Long,
+        val outcome: CallOutcome,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("abandon")
+    data class AbandonClaim(
+        val key: ClaimKey,
+        val attemptIdentifier: String,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("resolve")
+    data class ResolveClaim(
+        val key: ClaimKey,
+        val ran: Boolean,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("convict")
+    data class Convict(
+        val contentDigest: String,
+        val crashes: Int,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("lift")
+    data class LiftConviction(
+        val contentDigest: String,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("drain")
+    data class Drain(
+        val upstream: String,
+        val draining: Boolean,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("plan")
+    data class RecordPlan(
+        val plan: Plan,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("confirm")
+    data class ConfirmPlan(
+        val planNumber: Long,
+    ) : ControlOperation
+
+    /** Takes back a timed plan whose end has come. */
+    @Serializable
+    @SerialName("return")
+    data class ReturnPlan(
+        val planNumber: Long,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("order")
+    data class OrderEngine(
+        val upstream: String,
+        val order: EngineOrder,
+    ) : ControlOperation
+
+    /** Gives the pending order on the engine a fresh fencing number, and a load its token for the weight store. */
+    @Serializable
+    @SerialName("issue")
+    data class IssueOrder(
+        val upstream: String,
+    ) : ControlOperation
+
+    /** Ends the order that has this fencing number. */
+    @Serializable
+    @SerialName("end-order")
+    data class EndOrder(
+        val upstream: String,
+        val fencing: FencingNumber,
+        val succeeded: Boolean,
+        val detail: String,
+    ) : ControlOperation
+
+    /** An entry opened its link to [replica]. [fresh] says that it holds nothing from before a restart. */
+    @Serializable
+    @SerialName("linked")
+    data class EntryLinked(
+        val entry: String,
+        val replica: String,
+        val fresh: Boolean,
+    ) : ControlOperation
+
+    /** The link of the entry to [replica] has been closed for a while. */
+    @Serializable
+    @SerialName("lost")
+    data class EntryLost(
+        val entry: String,
+        val replica: String,
+    ) : ControlOperation
+
+    /** Only moves the replicated clock. */
+    @Serializable
+    @SerialName("clock")
+    data object AdvanceClock : ControlOperation
+}
+
+/** Where a record stands in the replicated log; later records compare higher. */
+@Serializable
+data class FencingNumber(
+    val term: Long,
+    val index: Long,
+) : Comparable<FencingNumber> {
+    override fun compareTo(other: FencingNumber): Int = compareValuesBy(this, other, { it.term }, { it.index })
+}
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationOperations.kt
@@ -0,0 +1,119 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.control.ControlOperation
+import hawthorncrank.control.ControlState
+import hawthorncrank.control.HISTORY_LIMIT
+import hawthorncrank.control.HistoryEntry
+import hawthorncrank.control.StagedChange
+import hawthorncrank.control.validateConfiguration
+import hawthorncrank.intents.describeDelta
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.ConfigurationDelta
+import hawthorncrank.protocol.NamedChanges
+import hawthorncrank.protocol.OperatorAnswer
+import kotlinx.collections.immutable.PersistentMap
+
+/** Accepts the first change on a base version; every later one on that base is a conflict. */
+internal fun ControlState.changeConfiguration(
+    operation: ControlOperation.ChangeConfiguration,
+    context: CommandContext,
+): Answered {
+    val change = context.command.identifier
+    val staged = stagedChanges[change]?.parts.orEmpty()
+    val unstaged = copy(stagedChanges = stagedChanges.remove(change))
+    val base = operation.delta.baseVersion
+    if (base != version) return unstaged.conflict(base)
+    if (staged.size < operation.stagedParts) {
+        return refused("parts of the change are missing", "propose it again under a new command identifier")
+            .copy(transient = true)
+    }
+    val deltas = staged.toSortedMap().values + operation.delta
+    val next = deltas.fold(configuration) { current, delta -> delta.applyTo(current) }
+    val failures = validateConfiguration(next)
+    if (failures.isNotEmpty()) return unstaged.invalid(failures.map { it.problem }, failures.first().remedy)
+    val whole = deltas.reduce(::joined)
+    return unstaged
+        .withConfiguration(next, whole, context)
+        .recorded(context, describeDelta(whole), operation.reason)
+        .accepted(describeDelta(whole))
+}
+
+internal fun ControlState.stageChange(operation: ControlOperation.StageChange): ControlState {
+    val known = stagedChanges[operation.change] ?: StagedChange(operation.delta.baseVersion, clock, emptyMap())
+    if (operation.change in answers) return this
+    val staged = known.copy(parts = known.parts + (operation.part to operation.delta))
+    return copy(stagedChanges = stagedChanges.put(operation.change, staged).limited(STAGED_CHANGES))
+}
+
+/** Makes the next version. [delta] leads to it from the current one. */
+internal fun ControlState.withConfiguration(
+    next: Configuration,
+    delta: ConfigurationDelta,
+    context: CommandContext,
+): ControlState =
+    copy(
+        version = version + 1,
+        configuration = next,
+        changedBy = context.command.by,
+        changedAtWallTime = context.command.wallTime,
+        lastDelta = delta.copy(baseVersion = version, version = version + 1),
+    ).withoutRemovedUpstreams()
+
+internal fun ControlState.recorded(
+    context: CommandContext,
+    what: List<String>,
+    why: String,
+): ControlState {
+    val entry = HistoryEntry(version, context.command.by, context.command.wallTime, what, why)
+    return copy(
+        history = history.put(nextHistoryNumber, entry).limited(HISTORY_LIMIT),
+        nextHistoryNumber = nextHistoryNumber + 1,
+    )
+}
+
+internal fun ControlState.invalid(
+    problems: List<String>,
+    remedy: String,
+): Answered {
+    val shown = problems.take(SHOWN_PROBLEMS).joinToString("; ")
+    val more = if (problems.size > SHOWN_PROBLEMS) "; and ${problems.size - SHOWN_PROBLEMS} more" else ""
+    return refused(shown + more, remedy)
+}
+
+internal fun <Key, Value> PersistentMap<Key, Value>.limited(limit: Int): PersistentMap<Key, Value> =
+    if (size > limit) remove(keys.first()) else this
+
+private fun ControlState.conflict(base: Long): Answered =
+    if (base > version) {
+        refused("version $base does not exist; the current one is $version", "read the configuration and propose again")
+    } else {
+        Answered(this, OperatorAnswer.Conflict(version, changedBy, changedAtWallTime))
+    }
+
+/** A drain of an upstream that no longer exists would silently apply to a later one of the same name. */
+private fun ControlState.withoutRemovedUpstreams(): ControlState {
+    val names = configuration.upstreams.mapTo(HashSet()) { it.name }
+    val gone = drains.keys.filter { it !in names }
+    if (gone.isEmpty()) return this
+    return copy(drains = gone.fold(drains) { kept, name -> kept.remove(name) }, drainRevision = drainRevision + 1)
+}
+
+private fun joined(
+    first: ConfigurationDelta,
+    second: ConfigurationDelta,
+) = second.copy(
+    classes = joined(first.classes, second.classes),
+    organisations = joined(first.organisations, second.organisations),
+    upstreams = joined(first.upstreams, second.upstreams),
+    services = joined(first.services, second.services),
+    weightStore = second.weightStore ?: first.weightStore,
+)
+
+/** Parts of one change name every item at most once. */
+private fun <Item> joined(
+    first: NamedChanges<Item>,
+    second: NamedChanges<Item>,
+) = NamedChanges(first.changed + second.changed, first.removed + second.removed)
+
+private const val SHOWN_PROBLEMS = 5
+private const val STAGED_CHANGES = 4
--- /dev/null
+++ b/control/src/test/kotlin/hawthorncrank/control/ControlHistory.kt
@@ -0,0 +1,189 @@
+package hawthorncrank.control
+
+import hawthorncrank.protocol.CallOutcome
+import hawthorncrank.protocol.ClaimDecision
+import hawthorncrank.protocol.ClaimKey
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.ConfigurationDelta
+import hawthorncrank.protocol.NamedChanges
+import hawthorncrank.protocol.OperatorAnswer
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.UpstreamKind
+import hawthorncrank.protocol.canonical
+import kotlin.random.Random
+
+/** What the generator did and saw, in order, for the checks. */
+data class Step(
+    val command: ControlCommand,
+    val before: ControlState,
+    val after: ControlState,
+    val result: CommandResult,
+)
+
+/**
+ * Generates one history: operators that race on stale versions, claimants that dispatch, record, abandon and die, and a
+ * network that repeats and reorders commands. [fault] may change the state and the command on their way to the state
+ * machine; [restoreAt] replaces the state by its snapshot before that step.
+ */
+class ControlHistory(
+    private val seed: Long,
+    private val steps: Int,
+    private val restoreAt: Int = -1,
+    private val fault: (
+        ControlState,
+        ControlCommand,
+    ) -> Pair<ControlState, ControlCommand> = { state, command -> state to command },
+) {
+    private val random = Random(seed)
+    private val sent = ArrayList<ControlCommand>()
+    private val history = ArrayList<Step>()
+    private val granted = ArrayList<Granted>()
+    private var time = 0L
+    private var serial = 0
+    private var index = 1L
+    private var state = ControlState(configuration = initial, version = 1)
+
+    private class Granted(
+        val key: ClaimKey,
+        val number: Long,
+        val attempt: String,
+        val entry: String,
+    )
+
+    fun run(): List<Step> {
+        listOf("e0", "e1", "e2").forEach { apply(command(it, ControlOperation.EntryLinked(it, "r0", fresh = true))) }
+        repeat(steps) { step ->
+            if (step == restoreAt) state = ControlCodec.decodeState(ControlCodec.encode(state))
+            time += random.nextLong(if (random.nextInt(50) == 0) 30L * 60 * 60 * 1_000 else 2_000)
+            act()
+        }
+        return history
+    }
+
+    fun finalState(): ControlState = state
+
+    private fun act() {
+        when (random.nextInt(12)) {
+            0, 1 -> operate()
+            2, 3, 4 -> claim()
+            5, 6, 7 -> finish()
+            8, 9, 10 -> resend()
+            else -> entryEvent()
+        }
+    }
+
+    private fun operate() {
+        val operator = "operator${random.nextInt(3)}"
+        val seen = state.version - random.nextInt(2)
+        val upstream = initial.upstreams.random(random).name
+        val operation =
+            when (random.nextInt(8)) {
+                0, 1 -> change(seen)
+                2 -> ControlOperation.Drain(upstream, random.nextBoolean())
+                3, 4, 5 -> ControlOperation.ResolveClaim(keys.random(random), random.nextBoolean())
+                6 -> ControlOperation.Convict("digest", random.nextInt(4))
+                else -> ControlOperation.LiftConviction("digest")
+            }
+        post(command(operator, operation))
+    }
+
+    private fun change(base: Long) =
+        ControlOperation.ChangeConfiguration(
+            "reason",
+            ConfigurationDelta(
+                base,
+                base + 1,
+                classes = NamedChanges(listOf(TrafficClass("quick", tier = 1 + random.nextInt(6)))),
+            ),
+        )
+
+    private fun claim() {
+        val operation = ControlOperation.Claim(keys.random(random), "digest${if (random.nextInt(8) == 0) 1 else 0}")
+        post(command("e${random.nextInt(3)}", operation))
+    }
+
+    /** A holder either never dispatches and abandons, or dispatches and records how the call ended. */
+    private fun finish() {
+        if (granted.isEmpty()) return
+        val claim = granted.removeAt(random.nextInt(granted.size))
+        val operation =
+            when (random.nextInt(5)) {
+                0 -> ControlOperation.AbandonClaim(claim.key, claim.attempt)
+                1 -> ControlOperation.RecordOutcome(claim.key, claim.number, CallOutcome.Unknown)
+                2 -> {
+                    if (random.nextBoolean()) granted += claim
+                    return
+                }
+                else -> ControlOperation.RecordOutcome(claim.key, claim.number, answered("${claim.number}"))
+            }
+        post(command(claim.entry, operation))
+        if (random.nextInt(6) == 0) post(command(claim.entry, ControlOperation.AbandonClaim(claim.key, claim.attempt)))
+    }
+
+    private fun entryEvent() {
+        val entry = "e${random.nextInt(3)}"
+        when (random.nextInt(3)) {
+            0 -> apply(command(entry, ControlOperation.EntryLost(entry, "r0")))
+            1 -> apply(command(entry, ControlOperation.EntryLinked(entry, "r0", fresh = random.nextBoolean())))
+            else -> abandonUnanswered(entry)
+        }
+    }
+
+    /** An entry that got no answer abandons an attempt whose claim may still be on its way. */
+    private fun abandonUnanswered(entry: String) {
+        val claim = command(entry, ControlOperation.Claim(keys.random(random), "digest0"))
+        val key = (claim.operation as ControlOperation.Claim).key
+        sent += claim
+        apply(command(entry, ControlOperation.AbandonClaim(key, claim.identifier)))
+    }
+
+    private fun post(command: ControlCommand) {
+        sent += command
+        if (random.nextInt(4) != 0) apply(command)
+    }
+
+    private fun resend() {
+        if (sent.isNotEmpty()) apply(sent[random.nextInt(maxOf(0, sent.size - RECENT), sent.size)])
+    }
+
+    private fun command(
+        by: String,
+        operation: ControlOperation,
+    ) = ControlCommand("$seed-${serial++}", by, time, time, operation)
+
+    private fun apply(command: ControlCommand) {
+        val (from, changed) = fault(state, command)
+        val applied = applyCommand(from, changed, FencingNumber(1, index++))
+        history += Step(command, state, applied.state, applied.result)
+        state = applied.state
+        val result = applied.result as? CommandResult.Claimed ?: return
+        val decision = result.decision as? ClaimDecision.Granted ?: return
+        if (granted.none { it.attempt == result.attemptIdentifier }) {
+            granted += Granted(result.key, decision.claimNumber, result.attemptIdentifier, command.by)
+        }
+    }
+
+    companion object {
+        private const val RECENT = 40
+        val keys = List(3) { ClaimKey("organisation", "key$it") }
+
+        fun answered(body: String) =
+            CallOutcome.Answered(200, "text/plain", body.encodeToByteArray(), bodyDigest = body)
+
+        val initial =
+            Configuration(
+                classes = listOf(TrafficClass("quick", tier = 1), TrafficClass("slow", tier = 3)),
+                organisations = listOf(Organisation("organisation", "south", listOf("quick"), emptyList())),
+                upstreams =
+                    listOf(
+                        Upstream("engine1", UpstreamKind.ENGINE, "127.0.0.1:1", "a", "south", models = listOf("m")),
+                        Upstream("engine2", UpstreamKind.ENGINE, "127.0.0.1:2", "a", "south", models = listOf("m")),
+                    ),
+            ).canonical()
+    }
+}
+
+/** The answer to an operator's command in this step, if it has one. */
+fun Step.operatorAnswer(): OperatorAnswer? = (result as? CommandResult.Operator)?.answer
--- /dev/null
+++ b/control/src/test/kotlin/hawthorncrank/control/HistoryChecks.kt
@@ -0,0 +1,148 @@
+package hawthorncrank.control
+
+import hawthorncrank.protocol.CallOutcome
+import hawthorncrank.protocol.ClaimDecision
+import hawthorncrank.protocol.ClaimKey
+import hawthorncrank.protocol.OperatorAnswer
+
+/** Checks a history against the promises, from what operators and entries see. Returns one line for each violation. */
+fun violations(history: List<Step>): List<String> =
+    oneWinnerPerBase(history) +
+        firstAnswerStands(history) +
+        versionsNeverGoBack(history) +
+        ClaimChecks().violations(history)
+
+private fun oneWinnerPerBase(history: List<Step>): List<String> {
+    val winners = HashMap<Long, MutableSet<String>>()
+    history.forEach { step ->
+        val operation = step.command.operation as? ControlOperation.ChangeConfiguration ?: return@forEach
+        if (step.operatorAnswer() is OperatorAnswer.Accepted) {
+            winners.getOrPut(operation.delta.baseVersion) { HashSet() } += step.command.identifier
+        }
+    }
+    return winners.filterValues { it.size > 1 }.map { "base ${it.key} has several winners: ${it.value}" }
+}
+
+private fun firstAnswerStands(history: List<Step>): List<String> =
+    history
+        .filter { it.operatorAnswer() != null }
+        .groupBy { it.command.identifier }
+        .filterValues { steps -> steps.map { it.result }.distinct().size > 1 }
+        .map { "command ${it.key} got several answers" }
+
+private fun versionsNeverGoBack(history: List<Step>): List<String> =
+    history
+        .filter { it.after.version !in it.before.version..it.before.version + 1 }
+        .map { "version went from ${it.before.version} to ${it.after.version}" }
+
+/** Follows every claim number from its grant to its end, without looking into the state machine's memory. */
+private class ClaimChecks {
+    private val holders = HashMap<ClaimKey, Holder>()
+    private val grants = HashMap<String, Long>()
+    private val withOutcome = HashSet<String>()
+    private val abandoned = HashSet<String>()
+    private val found = ArrayList<String>()
+
+    private class Holder(
+        val number: Long,
+        val attempt: String,
+        var finishedAt: Long? = null,
+        var answer: String? = null,
+        var free: Boolean = false,
+    )
+
+    fun violations(history: List<Step>): List<String> {
+        history.forEach { step ->
+            when (val result = step.result) {
+                is CommandResult.Claimed -> claimed(result, step)
+                is CommandResult.OutcomeNoted -> noted(result, step)
+                is CommandResult.AbandonNoted -> abandoned(result)
+                is CommandResult.Operator -> resolved(step)
+                CommandResult.Done -> Unit
+            }
+        }
+        return found
+    }
+
+    private fun claimed(
+        result: CommandResult.Claimed,
+        step: Step,
+    ) {
+        val holder = holders[result.key]
+        val decision = result.decision
+        if (decision is ClaimDecision.Finished && decision.outcome != expectedAnswer(holder, decision)) {
+            found += "${result.key} answers ${decision.outcome} and not the first outcome"
+        }
+        if (decision !is ClaimDecision.Granted) return
+        val attempt = result.attemptIdentifier
+        if (attempt in abandoned) found += "abandoned attempt $attempt is granted ${decision.claimNumber}"
+        if (attempt in withOutcome) found += "attempt $attempt is granted after its outcome"
+        val earlier = grants.put(attempt, decision.claimNumber)
+        if (earlier == decision.claimNumber) return
+        if (earlier != null) found += "attempt $attempt is granted $earlier and ${decision.claimNumber}"
+        if (holder != null && !isFree(holder, step)) {
+            found += "${result.key} is granted as ${decision.claimNumber} while ${holder.number} may run"
+        }
+        holders[result.key] = Holder(decision.claimNumber, attempt)
+    }
+
+    private fun expectedAnswer(
+        holder: Holder?,
+        decision: ClaimDecision.Finished,
+    ) = if (holder?.answer == RESOLVED) decision.outcome else holder?.answer?.let { ControlHistory.answered(it) }
+
+    private fun isFree(
+        holder: Holder,
+        step: Step,
+    ): Boolean {
+        val finishedAt = holder.finishedAt ?: return holder.free
+        return step.after.clock - finishedAt >= FINISHED_CLAIM_RETENTION_MILLISECONDS
+    }
+
+    private fun noted(
+        result: CommandResult.OutcomeNoted,
+        step: Step,
+    ) {
+        if (!result.accepted) return
+        val holder = holders[result.key]
+        val operation = step.command.operation as ControlOperation.RecordOutcome
+        if (holder?.number != operation.claimNumber) {
+            found += "${result.key} takes an outcome of ${operation.claimNumber} and is held as ${holder?.number}"
+            return
+        }
+        withOutcome += holder.attempt
+        val answered = operation.outcome as? CallOutcome.Answered ?: return
+        if (holder.finishedAt != null) return
+        holder.finishedAt = step.after.clock
+        holder.answer = answered.bodyDigest
+    }
+
+    private fun abandoned(result: CommandResult.AbandonNoted) {
+        if (!result.accepted) return
+        if (result.attemptIdentifier in
+            withOutcome
+        ) {
+            found += "${result.attemptIdentifier} is abandoned after its outcome"
+        }
+        abandoned += result.attemptIdentifier
+        val holder = holders[result.key] ?: return
+        if (holder.attempt == result.attemptIdentifier) holder.free = true
+    }
+
+    private fun resolved(step: Step) {
+        val operation = step.command.operation as? ControlOperation.ResolveClaim ?: return
+        if (step.operatorAnswer() !is OperatorAnswer.Accepted || step.before.claims == step.after.claims) return
+        val holder = holders.getValue(operation.key)
+        if (operation.ran) {
+            holder.finishedAt = step.after.clock
+            holder.answer = RESOLVED
+            withOutcome += holder.attempt
+        } else {
+            holder.free = true
+        }
+    }
+
+    private companion object {
+        const val RESOLVED = "resolved"
+    }
+}
