--- /dev/null
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/Call.kt
@@ -0,0 +1,119 @@
+package hawthorncrank.endtoend
+
+import java.io.ByteArrayOutputStream
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.ByteBuffer
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CompletionStage
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.Flow
+import java.util.concurrent.TimeUnit
+
+/** One caller's request: what it received so far, and how it ended. */
+class Call private constructor(
+    val request: HttpRequest,
+) {
+    private val received = ByteArrayOutputStream()
+    private val firstBytes = CompletableFuture<Unit>()
+    private var response: CompletableFuture<HttpResponse<Unit>> = CompletableFuture()
+
+    fun awaitFirstBytes() {
+        firstBytes.get(LIMIT_SECONDS, TimeUnit.SECONDS)
+    }
+
+    /** Waits for the end and returns it; a connection that broke is an ordinary end here. */
+    fun await(): CallEnd =
+        try {
+            val ended = response.get(LIMIT_SECONDS, TimeUnit.SECONDS)
+            val outcome = ended.headers().firstValue("Hawthorncrank-Outcome").orElse(null)
+            CallEnd(ended.statusCode(), outcome, bytes(), broken = null)
+        } catch (failure: ExecutionException) {
+            CallEnd(status = null, outcome = null, body = bytes(), broken = failure.cause?.toString())
+        }
+
+    private fun bytes(): String = synchronized(received) { received.toString(Charsets.UTF_8) }
+
+    private inner class Collector : HttpResponse.BodySubscriber<Unit> {
+        private val ended = CompletableFuture<Unit>()
+
+        override fun getBody(): CompletionStage<Unit> = ended
+
+        override fun onSubscribe(subscription: Flow.Subscription) = subscription.request(Long.MAX_VALUE)
+
+        override fun onNext(buffers: List<ByteBuffer>) {
+            synchronized(received) {
+                buffers.forEach { buffer -> ByteArray(buffer.remaining()).also(buffer::get).let(received::writeBytes) }
+            }
+            firstBytes.complete(Unit)
+        }
+
+        override fun onError(failure: Throwable) {
+            firstBytes.complete(Unit)
+            ended.completeExceptionally(failure)
+        }
+
+        override fun onComplete() {
+            firstBytes.complete(Unit)
+            ended.complete(Unit)
+        }
+    }
+
+    companion object {
+        private const val LIMIT_SECONDS = 90L
+        private val client: HttpClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+
+        fun send(request: HttpRequest): Call {
+            val call = Call(request)
+            call.response = client.sendAsync(request) { call.Collector() }
+            call.response.whenComplete { _, _ -> call.firstBytes.complete(Unit) }
+            return call
+        }
+
+        /** A streamed model call; the number in the prompt makes each answer differ. */
+        fun model(
+            address: URI,
+            organisation: String,
+            model: String,
+            className: String,
+            number: Int,
+            tokens: Int,
+        ): HttpRequest {
+            val prompt = "request $number [length=$tokens]"
+            val body = """{"model":"$model","stream":true,"messages":[{"role":"user","content":"$prompt"}]}"""
+            return HttpRequest
+                .newBuilder(address.resolve("/v1/chat/completions"))
+                .header("Authorization", "Bearer $organisation.sample-secret")
+                .header("Content-Type", "application/json")
+                .header("Hawthorncrank-Class", className)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build()
+        }
+
+        /** A non-idempotent call of a plain service. */
+        fun order(
+            address: URI,
+            organisation: String,
+            path: String,
+            key: String,
+            content: String,
+        ): HttpRequest =
+            HttpRequest
+                .newBuilder(address.resolve(path))
+                .header("Authorization", "Bearer $organisation.sample-secret")
+                .header("Idempotency-Key", key)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString("""{"content":"$content"}"""))
+                .build()
+    }
+}
+
+/** How a call ended. [status] is null when the connection broke before or during the answer. */
+data class CallEnd(
+    val status: Int?,
+    val outcome: String?,
+    val body: String,
+    val broken: String?,
+)
--- /dev/null
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/FleetSteps.kt
@@ -0,0 +1,224 @@
+package hawthorncrank.endtoend
+
+import io.cucumber.java.After
+import io.cucumber.java.en.Given
+import io.cucumber.java.en.Then
+import io.cucumber.java.en.When
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import java.net.URI
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** The steps of the scenarios in `features`. */
+class FleetSteps {
+    private lateinit var fleet: Fleet
+    private lateinit var calls: List<Call>
+    private lateinit var deployment: Deployment
+    private var keys: List<String> = emptyList()
+
+    @After
+    fun stopFleet() {
+        if (::fleet.isInitialized) fleet.close()
+    }
+
+    @Given("a running fleet of {string}")
+    fun startFleet(name: String) {
+        deployment = Deployment.of(name)
+        fleet = Fleet(name)
+        fleet.start()
+    }
+
+    @When("{int} callers stream answers of {int} tokens in class {string} through all entries")
+    fun streamThroughAll(
+        callers: Int,
+        tokens: Int,
+        className: String,
+    ) = stream(callers, tokens, className, fleet.entries)
+
+    @When("{int} callers stream answers of {int} tokens in class {string} through entry {int}")
+    fun streamThroughOne(
+        callers: Int,
+        tokens: Int,
+        className: String,
+        entry: Int,
+    ) = stream(callers, tokens, className, listOf(fleet.entry(entry)))
+
+    private fun stream(
+        callers: Int,
+        tokens: Int,
+        className: String,
+        entries: List<URI>,
+    ) {
+        calls =
+            (0 until callers).map { number ->
+                Call.send(deployment.modelCall(entries[number % entries.size], className, number, tokens))
+            }
+        calls.forEach(Call::awaitFirstBytes)
+    }
+
+    @When("{int} {word} {word} are each sent to entries {int} and {int} with the same key")
+    fun sendTwicePrintOrders(
+        count: Int,
+        firstWord: String,
+        secondWord: String,
+        first: Int,
+        second: Int,
+    ) = sendTwice(count, "$firstWord-$secondWord", first, second)
+
+    @When("{int} bookings are each sent to entries {int} and {int} with the same key")
+    fun sendTwiceBookings(
+        count: Int,
+        first: Int,
+        second: Int,
+    ) = sendTwice(count, "booking", first, second)
+
+    private fun sendTwice(
+        count: Int,
+        prefix: String,
+        first: Int,
+        second: Int,
+    ) {
+        keys = (1..count).map { "$prefix-$it" }
+        calls =
+            keys.flatMap { key ->
+                listOf(first, second).map { Call.send(deployment.serviceCall(fleet.entry(it), key)) }
+            }
+    }
+
+    @When("{string} is killed")
+    fun kill(name: String) = fleet.program(name).kill()
+
+    @When("{string} is started again")
+    fun startAgain(name: String) = fleet.program(name).start()
+
+    @When("{string} is asked to stop")
+    fun requestStop(name: String) = fleet.program(name).requestStop()
+
+    @When("a booking with key {string} is sent to entry {int}, which is killed once the booking runs")
+    fun killEntryOverBooking(
+        key: String,
+        entry: Int,
+    ) {
+        val call = Call.send(deployment.serviceCall(fleet.entry(entry), key))
+        eventually("the booking runs") { runs(key) > 0 }
+        fleet.program("entry-$entry").kill()
+        call.await()
+    }
+
+    @Then("every caller has the whole answer to its own request")
+    fun allWhole() = calls.forEach { assertWhole(it) }
+
+    @Then("every caller of another entry has the whole answer")
+    fun othersWhole() {
+        val killed = fleet.entry(3).port
+        calls.filter { it.request.uri().port != killed }.forEach { assertWhole(it) }
+    }
+
+    @Then("every caller has the whole answer or a true statement")
+    fun allWholeOrTrue() =
+        calls.forEach { call ->
+            val end = call.await()
+            val expected = expected(call)
+            val statement = end.body.substringAfter(ERROR_EVENT, missingDelimiterValue = "")
+            val delivered = end.body.substringBefore(ERROR_EVENT)
+            when {
+                end.broken != null -> assertTrue(expected.startsWith(end.body), "a broken answer holds foreign bytes")
+                end.status != HTTP_OK -> assertTrue(end.outcome in setOf("not-run", "unknown"), end.toString())
+                statement.isEmpty() -> assertEquals(expected, end.body)
+                else -> assertTrue(expected.startsWith(delivered), "an interrupted answer holds foreign bytes: $end")
+            }
+        }
+
+    @Then("a new stream through entry {int} is whole")
+    fun newStream(entry: Int) =
+        eventually("a whole stream through entry $entry") {
+            val call = Call.send(deployment.modelCall(fleet.entry(entry), deployment.quickClass, NEW_NUMBER, 10))
+            val end = call.await()
+            end.status == HTTP_OK && end.body == expected(call)
+        }
+
+    @Then("every booking ran exactly once")
+    fun bookingsOnce() = assertEquals(keys.associateWith { 1L }, keys.associateWith { runs(it) })
+
+    @Then("every print order ran exactly once")
+    fun ordersOnce() = bookingsOnce()
+
+    @Then("every caller heard the answer, or that the call is still running")
+    fun answeredOrRunning() =
+        calls.forEach { call ->
+            val end = call.await()
+            assertTrue(end.status in setOf(HTTP_CREATED, HTTP_CONFLICT), end.toString())
+            if (end.status == HTTP_CREATED) assertEquals("ran", end.outcome, end.toString())
+        }
+
+    @Then("the readiness page of {string} turns before it ends")
+    fun readinessTurns(name: String) = fleet.awaitNotReady(name)
+
+    @Then("{string} has ended without an error")
+    fun endedCleanly(name: String) = assertEquals(0, fleet.program(name).awaitExit(), fleet.program(name).log())
+
+    @Then("a booking with key {string} runs exactly once within {int} s")
+    fun bookingRuns(
+        key: String,
+        seconds: Int,
+    ) {
+        eventually("booking $key is answered", seconds) {
+            Call.send(deployment.serviceCall(fleet.entry(2), key)).await().status == HTTP_CREATED
+        }
+        assertEquals(1L, runs(key))
+    }
+
+    @Then("a booking with key {string} is refused as not run")
+    fun bookingRefused(key: String) {
+        val end = Call.send(deployment.serviceCall(fleet.entry(2), key)).await()
+        assertEquals(HTTP_UNAVAILABLE, end.status, end.toString())
+        assertEquals("not-run", end.outcome)
+        assertEquals(0L, runs(key))
+    }
+
+    @Then("a resend of key {string} to entry {int} never runs it again")
+    fun neverAgain(
+        key: String,
+        entry: Int,
+    ) {
+        repeat(5) {
+            val end = Call.send(deployment.serviceCall(fleet.entry(entry), key)).await()
+            assertTrue(end.status != HTTP_CREATED || end.outcome == "ran", end.toString())
+            assertTrue(end.outcome != "not-run" || end.status == HTTP_UNAVAILABLE, end.toString())
+        }
+        assertEquals(1L, runs(key))
+    }
+
+    private fun assertWhole(call: Call) {
+        val end = call.await()
+        assertEquals(HTTP_OK, end.status, end.toString())
+        assertEquals(expected(call), end.body, "broken: ${end.broken}")
+    }
+
+    /** The engine stand-ins derive an answer from the request alone, so any of them gives the expected bytes. */
+    private fun expected(call: Call): String = deployment.answerOf(call.request)
+
+    private fun runs(key: String): Long =
+        fleet.services().values.sumOf { address ->
+            val byKey =
+                Json
+                    .parseToJsonElement(
+                        fleet.get(address, "/admin/runs"),
+                    ).jsonObject
+                    .getValue("by_key")
+                    .jsonObject
+            byKey[key]?.jsonPrimitive?.long ?: 0L
+        }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val HTTP_CREATED = 201
+        const val HTTP_CONFLICT = 409
+        const val HTTP_UNAVAILABLE = 503
+        const val NEW_NUMBER = 1_000_000
+        const val ERROR_EVENT = "event: error"
+    }
+}
--- /dev/null
+++ b/endtoend/src/test/resources/features/failures.feature
@@ -0,0 +1,32 @@
+Feature: Programs that are killed with work in flight
+
+  Scenario: The upstreams of one availability zone are killed under open streams
+    Given a running fleet of "caroni"
+    When 60 callers stream answers of 200 tokens in class "fault-guess" through all entries
+    And "emulator-2" is killed
+    Then every caller has the whole answer or a true statement
+    And a new stream through entry 2 is whole
+
+  Scenario: An entry is killed under open streams
+    Given a running fleet of "caroni"
+    When 60 callers stream answers of 200 tokens in class "fault-guess" through all entries
+    And "entry-3" is killed
+    Then every caller of another entry has the whole answer
+    And every caller has the whole answer or a true statement
+
+  Scenario: Control replicas are killed under open streams and bookings
+    Given a running fleet of "caroni"
+    When 60 callers stream answers of 200 tokens in class "fault-guess" through all entries
+    And "control-1" is killed
+    Then every caller has the whole answer to its own request
+    And a booking with key "after-one" runs exactly once within 30 s
+    When "control-2" is killed
+    Then a booking with key "after-two" is refused as not run
+    And a new stream through entry 1 is whole
+    When "control-2" is started again
+    Then a booking with key "after-two" runs exactly once within 30 s
+
+  Scenario: An entry is killed while it waits for a booking
+    Given a running fleet of "caroni"
+    When a booking with key "lost-entry" is sent to entry 1, which is killed once the booking runs
+    Then a resend of key "lost-entry" to entry 2 never runs it again
