--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
@@ -44,16 +44,28 @@
     record(ConsensusEvent.GROUP_JOINED, "group" to group)
 }
 
+/**
+ * An unadmitted replica asks, and so does one whose admission was given up: a learner may have heard from a leader whose
+ * record of the admission was then lost with its term.
+ */
 internal fun ReplicaStep.askToJoinWhenDue() {
-    if (state.joinAt > now) return
+    val forgotten = !isMember(state.self) && now - state.leaderHeardAt >= settings.electionTimeoutMaximum
+    if (state.joinAt > now || state.group != null && !forgotten) return
     state = state.copy(joinAt = now + settings.joinInterval)
     settings.peers.forEach { send(ReplicaMember(it.name, "", it.address), ReplicaMessage.JoinRequest) }
 }
 
+internal fun ReplicaStep.isMember(replica: ReplicaMember): Boolean =
+    (state.requiredMemberships + state.membership).any { membership ->
+        membership.voters.any { it.identity == replica.identity } ||
+            membership.learners.any { it.member.identity == replica.identity }
+    }
+
 internal fun ReplicaStep.receiveJoinRequest(envelope: ReplicaEnvelope) {
     val leader = leading ?: return
     val sender = envelope.sender
-    if (sender.identity in leader.progress) return
+    val otherGroup = envelope.group.isNotEmpty() && envelope.group != state.group
+    if (otherGroup || sender.identity in leader.progress) return
     val membership = state.membership
     val voter = membership.voters.find { it.name == sender.name }
     val learner = membership.learners.find { it.member.name == sender.name }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -102,11 +102,9 @@
 
 private fun ReplicaStep.tick() {
     expireRequests(now - settings.forwardTimeout)
-    when {
-        state.group == null -> askToJoinWhenDue()
-        leading != null -> leadOnTick()
-        else -> campaignWhenDue()
-    }
+    if (leading != null) return leadOnTick()
+    askToJoinWhenDue()
+    campaignWhenDue()
 }
 
 private fun ReplicaStep.stop() {
@@ -196,5 +194,3 @@
         else -> Unit
     }
 }
-
-private fun ReplicaStep.isMember(sender: ReplicaMember): Boolean = sender.identity in otherMembers().map { it.identity }
--- /dev/null
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/FakeDisk.kt
@@ -0,0 +1,40 @@
+package hawthorncrank.consensus
+
+import hawthorncrank.protocol.LogRecord
+import kotlin.random.Random
+
+/** A disk in memory that forgets what was not synced: a crash keeps a random part of the unsynced writes, in order. */
+class FakeDisk(
+    identity: String,
+) {
+    var durable = RecoveredReplica(identity)
+        private set
+    private val unsynced = ArrayDeque<ReplicaEffect.Persist>()
+
+    fun write(effect: ReplicaEffect.Persist) {
+        unsynced += effect
+    }
+
+    fun sync(token: Long) {
+        while (unsynced.isNotEmpty() && unsynced.first().token <= token) durable = durable.with(unsynced.removeFirst())
+    }
+
+    fun crash(random: Random) {
+        repeat(random.nextInt(unsynced.size + 1)) { durable = durable.with(unsynced.removeFirst()) }
+        unsynced.clear()
+    }
+
+    fun holds(index: Long): Boolean = index <= (durable.snapshot?.lastIndex ?: 0) + durable.records.size
+}
+
+private fun RecoveredReplica.with(effect: ReplicaEffect.Persist): RecoveredReplica =
+    when (effect) {
+        is ReplicaEffect.PersistVote -> copy(vote = effect.vote)
+        is ReplicaEffect.PersistRecords -> copy(records = records.before(effect.records.first().index) + effect.records)
+        is ReplicaEffect.PersistSnapshot -> copy(snapshot = effect.snapshot, records = recordsAfter(effect))
+    }
+
+private fun List<LogRecord>.before(index: Long) = takeWhile { it.index < index }
+
+private fun RecoveredReplica.recordsAfter(effect: ReplicaEffect.PersistSnapshot): List<LogRecord> =
+    if (effect.retainRecords) records.dropWhile { it.index <= effect.snapshot.lastIndex } else emptyList()
--- /dev/null
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistory.kt
@@ -0,0 +1,153 @@
+package hawthorncrank.consensus
+
+import hawthorncrank.consensus.internal.Safeguards
+
+/** Runs one history: faults and requests at random times from the seed, then a quiet end in which all must recover. */
+internal class GeneratedHistory(
+    seed: Long,
+    safeguards: Safeguards = Safeguards(),
+    checker: HistoryChecker = HistoryChecker(),
+    private val amnesia: Boolean = false,
+    private val duration: Long = 60_000,
+) {
+    val group =
+        SimulatedGroup(
+            seed,
+            if (seed % 4 == 0L) listOf("a", "b", "c", "d", "e") else listOf("a", "b", "c"),
+            safeguards = safeguards,
+            checker = checker,
+        ) {
+            // Small bounds, so that snapshots, chunks and full pipelines are frequent.
+            it.copy(
+                snapshotInterval = 40,
+                retainedRecords = 10,
+                messageRecords = 8,
+                messageBytes = 64,
+                pipelineMessages = 3,
+            )
+        }
+    var lostDisks = 0
+        private set
+    private val random = group.random
+    private val names = group.replicas.keys.toList()
+    private var faulty = true
+
+    fun run() {
+        group.lossPercent = random.nextInt(0, 10)
+        group.duplicationPercent = random.nextInt(0, 10)
+        group.slowPercent = random.nextInt(0, 5)
+        group.run(8_000)
+        scheduleRequest()
+        scheduleFault()
+        group.run(duration)
+        heal()
+        if (!group.run(RECOVERY, until = group::isHealthy)) throw Violation("no recovery: ${describe()}")
+        val waiting = names.toMutableSet()
+        proposeUntilCommitted(waiting)
+        val done = { waiting.isEmpty() && group.isHealthy() }
+        if (!group.run(RECOVERY, until = done)) throw Violation("no progress after healing: ${describe()}")
+    }
+
+    /** A refused or unknown command is proposed again, as a client would. */
+    private fun proposeUntilCommitted(waiting: MutableSet<String>) {
+        val tickets = waiting.associateWith { group.propose(it) }
+        group.after(1_000) {
+            waiting.removeIf { tickets.getValue(it) in group.checker.committedTickets }
+            if (waiting.isNotEmpty()) proposeUntilCommitted(waiting)
+        }
+    }
+
+    private fun heal() {
+        faulty = false
+        group.cuts.clear()
+        group.lossPercent = 0
+        group.duplicationPercent = 0
+        group.slowPercent = 0
+        names.forEach(group::start)
+    }
+
+    private fun scheduleRequest(): Unit =
+        group.after(random.nextLong(5, 120)) {
+            if (!faulty) return@after
+            val name = names.random(random)
+            if (group.replicas.getValue(name).state != null) {
+                if (random.nextInt(3) == 0) group.read(name) else group.propose(name)
+            }
+            scheduleRequest()
+        }
+
+    private fun scheduleFault(): Unit =
+        group.after(random.nextLong(100, 3_000)) {
+            if (!faulty) return@after
+            inject()
+            scheduleFault()
+        }
+
+    private fun inject() {
+        val name = if (random.nextInt(3) == 0) group.leader?.name ?: names.random(random) else names.random(random)
+        when (random.nextInt(9)) {
+            0, 1 -> {
+                group.crash(name)
+                restartLater(name)
+            }
+
+            2, 3 -> {
+                loseDisk(name)
+            }
+
+            4 -> {
+                cutLater(List(random.nextInt(1, 4)) { names.random(random) to names.random(random) }, 5_000)
+            }
+
+            5 -> {
+                cutLater(names.flatMap { listOf(it to name, name to it) }, 15_000)
+            }
+
+            6 -> {
+                names.forEach(group::crash)
+                names.forEach(::restartLater)
+            }
+
+            7 -> {
+                group.stall(name, random.nextLong(100, 6_000))
+            }
+
+            else -> {
+                group.cuts.clear()
+            }
+        }
+    }
+
+    private fun restartLater(name: String) = group.after(random.nextLong(10, 4_000)) { group.start(name) }
+
+    private fun cutLater(
+        cuts: List<Pair<String, String>>,
+        longest: Long,
+    ) {
+        group.cuts += cuts
+        group.after(random.nextLong(100, longest)) { group.cuts -= cuts.toSet() }
+    }
+
+    /**
+     * Loses a disk only while every other voter of the committed membership still has its own: the promise is about one
+     * loss at a time, the next as soon as the replacement is committed.
+     */
+    private fun loseDisk(name: String) {
+        val voters = group.checker.membership.voters
+        val others = voters.filter { it.name != name }
+        if (others.size == voters.size || others.any { group.checker.isLost(it.identity) }) return
+        lostDisks++
+        group.loseDisk(name, keepIdentity = amnesia)
+        restartLater(name)
+    }
+
+    private fun describe(): String =
+        group.replicas.values.joinToString { replica ->
+            val state = replica.state
+            "${state?.self?.identity} ${state?.role} term ${state?.term} applied ${state?.appliedIndex}/${state?.lastIndex}"
+        } + ", committed ${group.checker.committed.size}, ${group.checker.membership}"
+
+    private companion object {
+        const val RECOVERY = 40_000L
+    }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/HistoryChecker.kt
@@ -0,0 +1,140 @@
+package hawthorncrank.consensus
+
+import hawthorncrank.consensus.internal.decodeMembership
+import hawthorncrank.protocol.LogRecord
+import hawthorncrank.protocol.RecordKind
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.ReplicaMessage
+
+class Violation(
+    message: String,
+) : IllegalStateException(message)
+
+/**
+ * What must hold in every history. With [onlyOutcomes], the checks that look at single messages are off, so that a
+ * switched-off mechanism has to be noticed by its consequences.
+ */
+class HistoryChecker(
+    private val onlyOutcomes: Boolean = false,
+) {
+    val committed = mutableListOf<LogRecord>()
+    var membership = Membership()
+        private set
+    var confirmedReads = 0
+        private set
+    val committedTickets = mutableSetOf<Long>()
+    private val leaders = mutableMapOf<Long, String>()
+    private val lostIdentities = mutableSetOf<String>()
+    private val openCommands = mutableMapOf<Long, String>()
+    private val openReads = mutableMapOf<Long, Long>()
+    private val refusedCommands = mutableSetOf<String>()
+    private val committedCommands = mutableSetOf<String>()
+
+    val openTickets: Set<Long> get() = openCommands.keys + openReads.keys
+
+    fun lostDisk(identity: String) {
+        lostIdentities += identity
+    }
+
+    fun isLost(identity: String) = identity in lostIdentities
+
+    fun proposed(
+        ticket: Long,
+        command: String,
+    ) {
+        openCommands[ticket] = command
+    }
+
+    fun readRequested(ticket: Long) {
+        openReads[ticket] = committed.size.toLong()
+    }
+
+    fun observe(state: ReplicaState) {
+        if (state.role != ReplicaRole.LEADER) return
+        val known = leaders.getOrPut(state.term) { state.self.identity }
+        ensure(known == state.self.identity) { "two leaders in term ${state.term}: $known, ${state.self.identity}" }
+    }
+
+    fun applied(record: LogRecord) {
+        val position = record.index.toInt() - 1
+        ensure(position <= committed.size) { "$record applied before ${committed.size + 1}" }
+        if (position < committed.size) {
+            ensure(committed[position] == record) { "committed ${committed[position]} became $record" }
+            return
+        }
+        committed += record
+        if (record.kind == RecordKind.MEMBERSHIP) {
+            membership = decodeMembership(record.payload)
+        }
+        if (record.kind == RecordKind.COMMAND) {
+            val command = record.payload.decodeToString()
+            ensure(committedCommands.add(command)) { "$command committed twice" }
+            ensure(command !in refusedCommands) { "$command committed although refused" }
+        }
+    }
+
+    fun installed(
+        index: Long,
+        application: List<String>,
+    ) {
+        val records = committed.take(index.toInt()).filter { it.kind == RecordKind.COMMAND }
+        ensure(application == records.map { it.payload.decodeToString() }) { "snapshot at $index has another content" }
+    }
+
+    fun answered(effect: ReplicaEffect.AnswerTicket) {
+        if (openReads.remove(effect.ticket) != null) return
+        val command = openCommands.remove(effect.ticket) ?: throw Violation("ticket ${effect.ticket} answered twice")
+        when (val answer = effect.answer) {
+            is TicketAnswer.Committed -> {
+                val record = committed.getOrNull(answer.index.toInt() - 1)
+                ensure(record?.payload?.decodeToString() == command) { "$command answered as committed in $record" }
+                committedTickets += effect.ticket
+            }
+
+            is TicketAnswer.Refused -> {
+                ensure(command !in committedCommands) { "$command refused although committed" }
+                refusedCommands += command
+            }
+
+            is TicketAnswer.Unknown -> {
+                Unit
+            }
+        }
+    }
+
+    fun readConfirmed(
+        ticket: Long,
+        appliedIndex: Long,
+    ) {
+        val needed = openReads.remove(ticket) ?: throw Violation("read $ticket answered twice")
+        ensure(appliedIndex >= needed) { "stale read: $appliedIndex applied, $needed committed before the read" }
+        confirmedReads++
+    }
+
+    fun sent(
+        envelope: ReplicaEnvelope,
+        disk: FakeDisk,
+    ) {
+        val message = envelope.message
+        val promises =
+            message is ReplicaMessage.VoteAnswer && message.granted && !message.preliminary ||
+                message is ReplicaMessage.AppendAnswer && message.accepted
+        if (!promises || onlyOutcomes) return
+        val durable = disk.durable.vote
+        ensure(envelope.sender.identity !in lostIdentities) { "$envelope after its disk was lost" }
+        ensure(durable.group != null && durable.term >= envelope.term) { "$envelope before its term was synced" }
+        if (message is ReplicaMessage.VoteAnswer && durable.term == envelope.term) {
+            ensure(durable.votedFor == envelope.recipient) { "$envelope before the vote was synced" }
+        }
+        if (message is ReplicaMessage.AppendAnswer) {
+            ensure(disk.holds(message.matchIndex)) { "$envelope before its records were synced" }
+        }
+    }
+
+    private fun ensure(
+        condition: Boolean,
+        problem: () -> String,
+    ) {
+        if (!condition) throw Violation(problem())
+    }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/ReplicaScenarioTest.kt
@@ -0,0 +1,249 @@
+package hawthorncrank.consensus
+
+import hawthorncrank.consensus.internal.ConsensusEvent
+import hawthorncrank.consensus.internal.Safeguards
+import hawthorncrank.consensus.internal.reduceReplica
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.ReplicaMember
+import hawthorncrank.protocol.ReplicaMessage
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+
+class ReplicaScenarioTest {
+    private fun healthyGroup(
+        spare: List<String> = emptyList(),
+        change: (ReplicaSettings) -> ReplicaSettings = { it },
+    ): SimulatedGroup {
+        val group = SimulatedGroup(seed = 11, spare = spare, change = change)
+        assertTrue(group.run(20_000, until = group::isHealthy))
+        return group
+    }
+
+    private fun SimulatedGroup.settle() = assertTrue(run(30_000, until = ::isHealthy))
+
+    private fun SimulatedGroup.state(name: String) = replicas.getValue(name).state!!
+
+    /** Guards against a second group with the same replicas. */
+    @Test
+    fun `a replica of a group refuses to form another`() {
+        val group = healthyGroup()
+        var answer: TicketAnswer? = null
+        group.deliver("b", ReplicaEvent.FormGroup(-1, listOf(group.member("b")))) { answer = it.answer }
+        assertEquals(TicketAnswer.Refused(ReplicaRefusal.ALREADY_FORMED), answer)
+    }
+
+    /** Guards against a replica that counts before anyone named it. */
+    @Test
+    fun `an unadmitted replica neither votes nor acknowledges`() {
+        val group = healthyGroup(spare = listOf("d"))
+        val leader = group.leader!!.name
+        val recipient = group.member("d").identity
+        listOf(
+            ReplicaMessage.VoteRequest(preliminary = false, 100, 100),
+            ReplicaMessage.Append(0, 0, emptyList(), 0, 1),
+        ).forEach { message ->
+            listOf(recipient, "lost").forEach { identity ->
+                val foreign = ReplicaEnvelope(group.state("a").group!!, group.member(leader), identity, 9, message)
+                val admitted = identity == recipient && message is ReplicaMessage.Append
+                val settings = ReplicaSettings(emptyList())
+                val event = ReplicaEvent.EnvelopeReceived(foreign)
+                val transition = reduceReplica(settings, Safeguards(), group.state("d"), event, group.now)
+                assertTrue(transition.effects.none { it is ReplicaEffect.SendEnvelope }, "$message")
+                assertEquals(admitted, transition.state.term == 9L)
+            }
+        }
+        group.run(5_000)
+        assertEquals(ReplicaRole.UNADMITTED, group.state("d").role)
+        assertEquals(3, group.checker.membership.voters.size)
+    }
+
+    /** Guards against an isolated replica that forces an election on its return. */
+    @Test
+    fun `an isolated follower does not raise its term`() {
+        val group = healthyGroup()
+        val follower = group.replicas.keys.first { it != group.leader?.name }
+        val term = group.state(follower).term
+        group.isolate(follower)
+        group.run(60_000)
+        assertEquals(term, group.state(follower).term)
+        group.cuts.clear()
+        group.settle()
+        assertEquals(term, group.leader?.state?.term)
+    }
+
+    /** Guards against an isolated leader that keeps answering reads as confirmed. */
+    @Test
+    fun `an isolated leader steps down after one election timeout and confirms no read`() {
+        val group = healthyGroup()
+        val isolated = group.leader!!.name
+        val reads = group.checker.confirmedReads
+        group.isolate(isolated)
+        group.read(isolated)
+        group.run(1_700)
+        assertNotEquals(ReplicaRole.LEADER, group.state(isolated).role)
+        group.read(isolated)
+        group.run(10_000)
+        assertEquals(reads, group.checker.confirmedReads)
+        assertTrue(ConsensusEvent.MAJORITY_LOST in group.events)
+    }
+
+    /** Guards against a replacement that forgets: the second disk is lost as soon as the first is replaced. */
+    @Test
+    fun `a second loss right after a replacement loses nothing`() {
+        val group = healthyGroup()
+        val (first, second) =
+            group.replicas.keys
+                .sortedBy { it == group.leader?.name }
+                .drop(1)
+        repeat(50) { group.propose("a") }
+        group.run(1_000)
+        group.loseDisk(first)
+        group.start(first)
+        val identity = group.member(first).identity
+        val replaced = {
+            group.checker.membership.voters
+                .any { it.identity == identity }
+        }
+        assertTrue(group.run(30_000, until = replaced))
+        group.loseDisk(second)
+        assertTrue(group.run(30_000, until = { group.leader != null && group.leader?.name != second }))
+        val ticket = group.propose(group.leader!!.name)
+        assertTrue(group.run(10_000, until = { ticket in group.checker.committedTickets }))
+        group.start(second)
+        group.settle()
+        assertEquals(
+            51,
+            group.replicas
+                .getValue(second)
+                .application.size,
+        )
+        assertEquals(2, group.checker.membership.retired.size)
+    }
+
+    /** Guards against the old identity losing its weight before the replacement is committed. */
+    @Test
+    fun `without a majority a lost identity is not replaced`() {
+        val group = healthyGroup()
+        val (first, second) = group.replicas.keys.filter { it != group.leader?.name }
+        group.crash(second)
+        group.loseDisk(first)
+        group.start(first)
+        group.run(30_000)
+        assertTrue(
+            group.checker.membership.learners
+                .isEmpty(),
+        )
+        assertEquals(null, group.leader)
+        group.start(second)
+        group.settle()
+    }
+
+    /** Guards against a replaced replica that still takes part when its old disk turns up. */
+    @Test
+    fun `a retired identity is ignored`() {
+        val group = healthyGroup()
+        val name = group.replicas.keys.first { it != group.leader?.name }
+        val old = group.member(name)
+        group.loseDisk(name)
+        group.start(name)
+        group.settle()
+        val leader = group.leader!!
+        val message = ReplicaMessage.VoteRequest(preliminary = false, 10_000, 10_000)
+        val envelope = ReplicaEnvelope(leader.state!!.group!!, old, leader.state!!.self.identity, 10_000, message)
+        group.run(10)
+        val before = leader.state
+        group.deliver(leader.name, ReplicaEvent.EnvelopeReceived(envelope))
+        assertEquals(before, leader.state)
+    }
+
+    /** Guards against changes that skip the learner stage, and against a leader that cannot leave. */
+    @Test
+    fun `members are admitted one at a time and the leader can be removed`() {
+        val group = healthyGroup(spare = listOf("d", "e"))
+        val answers = mutableListOf<TicketAnswer>()
+        val leader = group.leader!!.name
+        listOf("d", "e").forEachIndexed { number, name ->
+            val event = ReplicaEvent.AdmitMember(-1L - number, group.member(name))
+            group.deliver(leader, event) { answers += it.answer }
+        }
+        assertEquals(listOf<TicketAnswer>(TicketAnswer.Refused(ReplicaRefusal.CHANGE_IN_PROGRESS)), answers)
+        assertTrue(group.run(20_000, until = { group.checker.membership.voters.size == 4 }))
+        assertIs<TicketAnswer.Committed>(answers.last())
+        group.run(1_000)
+        group.deliver(leader, ReplicaEvent.RemoveMember(-3, group.member(leader).identity)) { answers += it.answer }
+        assertTrue(group.run(20_000, until = { group.leader != null && group.leader?.name != leader }))
+        assertIs<TicketAnswer.Committed>(answers.last())
+        assertFalse(
+            group.checker.membership.voters
+                .any { it.name == leader },
+        )
+        val ticket = group.propose(group.leader!!.name)
+        assertTrue(group.run(5_000, until = { ticket in group.checker.committedTickets }))
+    }
+
+    /** Guards against frames above 1 MiB, and against a late follower that cannot catch up. */
+    @Test
+    fun `a late follower receives a large snapshot in chunks below the frame`() {
+        val group = healthyGroup()
+        val late = group.replicas.keys.first { it != group.leader?.name }
+        group.crash(late)
+        val text = "x".repeat(1_000)
+        repeat(2_500) {
+            group.propose(group.leader!!.name, text)
+            group.run(2)
+        }
+        group.recordMessages = true
+        group.start(late)
+        group.settle()
+        val chunks = group.sentMessages.map { it.message }.filterIsInstance<ReplicaMessage.InstallSnapshot>()
+        assertTrue(chunks.size > 5, "${chunks.size} chunks")
+        assertTrue(chunks.all { it.bytes.size <= 256 * 1_024 })
+        assertTrue(ConsensusEvent.SNAPSHOT_INSTALLED in group.events)
+    }
+
+    /** Guards against a command that a repeated message commits twice. */
+    @Test
+    fun `a repeated forwarded command is committed once`() {
+        val group = healthyGroup()
+        val follower = group.replicas.keys.first { it != group.leader?.name }
+        group.duplicationPercent = 100
+        repeat(20) { group.propose(follower) }
+        group.run(2_000)
+        assertEquals(
+            20,
+            group.replicas
+                .getValue(follower)
+                .application.size,
+        )
+    }
+
+    /** Guards against requests that are never answered when the process stops. */
+    @Test
+    fun `stopping answers every ticket and refuses new ones`() {
+        val group = healthyGroup()
+        val leader = group.leader!!.name
+        val pending = group.propose(leader)
+        group.deliver(leader, ReplicaEvent.Stop)
+        val later = group.propose(leader)
+        assertEquals(emptySet(), group.checker.openTickets)
+        assertFalse(pending in group.checker.committedTickets || later in group.checker.committedTickets)
+    }
+
+    @Test
+    fun `members without this replica or with repeated names are refused`() {
+        val first = startReplica(ReplicaSettings(emptyList()), "a", "a", RecoveredReplica("a-1"), 1, 0).state
+        val self = ReplicaMember("a", "a-1", "a")
+        listOf(emptyList(), listOf(self.copy(identity = "other")), listOf(self, self.copy(identity = "b-1"))).forEach {
+            val transition =
+                replicaReducer(
+                    ReplicaSettings(emptyList()),
+                ).reduce(first, ReplicaEvent.FormGroup(1, it), 0)
+            val answer = ReplicaEffect.AnswerTicket(1, TicketAnswer.Refused(ReplicaRefusal.INVALID_MEMBERS))
+            assertEquals(listOf<ReplicaEffect>(answer), transition.effects.toList())
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -0,0 +1,298 @@
+package hawthorncrank.consensus
+
+import hawthorncrank.common.EventCode
+import hawthorncrank.consensus.internal.Safeguards
+import hawthorncrank.consensus.internal.reduceReplica
+import hawthorncrank.protocol.RecordKind
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.ReplicaMember
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+class SimulatedReplica(
+    val name: String,
+    var disk: FakeDisk,
+) {
+    var state: ReplicaState? = null
+    var start = 0
+    var identities = 1
+    var application = listOf<String>()
+    var stalledUntil = 0L
+}
+
+/** Replicas, their disks and the network between them in virtual time. Everything random comes from [seed]. */
+@Suppress("LongParameterList")
+internal class SimulatedGroup(
+    val seed: Long,
+    names: List<String> = listOf("a", "b", "c"),
+    private val spare: List<String> = emptyList(),
+    private val safeguards: Safeguards = Safeguards(),
+    val checker: HistoryChecker = HistoryChecker(),
+    private val change: (ReplicaSettings) -> ReplicaSettings = { it },
+) {
+    val random = Random(seed)
+    val replicas = (names + spare).associateWith { SimulatedReplica(it, FakeDisk("$it-1")) }
+    val cuts = mutableSetOf<Pair<String, String>>()
+    val sentMessages = mutableListOf<ReplicaEnvelope>()
+    val events = mutableListOf<EventCode>()
+    var recordMessages = false
+    var lossPercent = 0
+    var duplicationPercent = 0
+    var slowPercent = 0
+    var now = 1_000_000L
+    var steps = 0L
+        private set
+    private var tickets = 0L
+    private val administrative = mutableMapOf<Long, (ReplicaEffect.AnswerTicket) -> Unit>()
+    private val agenda = PriorityQueue<Task>(compareBy({ it.time }, { it.number }))
+
+    private class Task(
+        val time: Long,
+        val number: Long,
+        val action: () -> Unit,
+    )
+
+    val leader: SimulatedReplica?
+        get() = replicas.values.filter { it.state?.role == ReplicaRole.LEADER }.maxByOrNull { it.state!!.term }
+
+    init {
+        replicas.keys.forEach(::start)
+        val members = names.map { replicas.getValue(it).state!!.self }
+        deliver(names.first(), ReplicaEvent.FormGroup(0, members)) {}
+    }
+
+    fun member(name: String): ReplicaMember =
+        ReplicaMember(
+            name,
+            replicas
+                .getValue(name)
+                .disk.durable.identity,
+            name,
+        )
+
+    private fun settings(name: String) =
+        change(ReplicaSettings(replicas.keys.filter { it != name }.map { ReplicaPeer(it, it) }))
+
+    fun after(
+        delay: Long,
+        action: () -> Unit,
+    ) {
+        agenda += Task(now + delay, steps++, action)
+    }
+
+    fun run(
+        duration: Long,
+        until: () -> Boolean = { false },
+    ): Boolean {
+        val end = now + duration
+        while (!until()) {
+            val task = agenda.peek()?.takeIf { it.time <= end } ?: break
+            agenda.remove()
+            now = task.time
+            task.action()
+        }
+        if (until()) return true
+        now = end
+        return false
+    }
+
+    fun start(name: String) {
+        val replica = replicas.getValue(name)
+        if (replica.state != null) return
+        replica.application = emptyList()
+        val first = startReplica(settings(name), name, name, replica.disk.durable, random.nextLong(), now)
+        replica.state = first.state
+        replica.start++
+        first.effects.forEach { carryOut(replica, it) }
+        scheduleTick(replica, replica.start)
+    }
+
+    private fun scheduleTick(
+        replica: SimulatedReplica,
+        start: Int,
+    ): Unit =
+        after(TICK) {
+            if (replica.start == start && replica.state != null) {
+                deliver(replica.name, ReplicaEvent.Tick)
+                scheduleTick(replica, start)
+            }
+        }
+
+    fun crash(name: String) {
+        val replica = replicas.getValue(name)
+        replica.state = null
+        replica.stalledUntil = 0
+        replica.start++
+        replica.disk.crash(random)
+    }
+
+    /** With [keepIdentity], a faulty replica comes back empty under the identity that it lost. */
+    fun loseDisk(
+        name: String,
+        keepIdentity: Boolean = false,
+    ) {
+        crash(name)
+        val replica = replicas.getValue(name)
+        val lost = replica.disk.durable
+        checker.lostDisk(lost.identity)
+        replica.disk = FakeDisk(if (keepIdentity) lost.identity else "$name-${++replica.identities}")
+        if (keepIdentity) replica.disk.write(ReplicaEffect.PersistVote(0, VoteState(lost.vote.group)))
+        replica.disk.sync(0)
+    }
+
+    fun isolate(name: String) = replicas.keys.forEach { cuts += setOf(name to it, it to name) }
+
+    fun propose(
+        name: String,
+        text: String = "",
+    ): Long {
+        val ticket = ++tickets
+        val command = "$ticket$text"
+        checker.proposed(ticket, command)
+        deliver(name, ReplicaEvent.ProposeCommand(ticket, command.encodeToByteArray()))
+        return ticket
+    }
+
+    fun read(name: String) {
+        checker.readRequested(++tickets)
+        deliver(name, ReplicaEvent.RequestRead(tickets))
+    }
+
+    fun deliver(
+        name: String,
+        event: ReplicaEvent,
+        onAnswer: ((ReplicaEffect.AnswerTicket) -> Unit)? = null,
+    ) {
+        val replica = replicas.getValue(name)
+        val state = replica.state ?: return
+        if (replica.stalledUntil > now) return deliverAfterStall(replica, event)
+        onAnswer?.let { administrative[ticketOf(event)] = it }
+        val transition = reduceReplica(settings(name), safeguards, state, event, now)
+        replica.state = transition.state
+        checker.observe(transition.state)
+        transition.effects.forEach { carryOut(replica, it) }
+        val token = transition.effects.filterIsInstance<ReplicaEffect.Persist>().maxOfOrNull { it.token } ?: return
+        scheduleSync(replica, token)
+    }
+
+    /** The process stands still: what arrives meanwhile, its own ticks included, is handled afterwards in order. */
+    fun stall(
+        name: String,
+        duration: Long,
+    ) {
+        replicas.getValue(name).stalledUntil = now + duration
+    }
+
+    private fun deliverAfterStall(
+        replica: SimulatedReplica,
+        event: ReplicaEvent,
+    ) {
+        val start = replica.start
+        after(replica.stalledUntil - now) { if (replica.start == start) deliver(replica.name, event) }
+    }
+
+    private fun ticketOf(event: ReplicaEvent): Long =
+        when (event) {
+            is ReplicaEvent.FormGroup -> event.ticket
+            is ReplicaEvent.AdmitMember -> event.ticket
+            is ReplicaEvent.ReplaceMember -> event.ticket
+            is ReplicaEvent.RemoveMember -> event.ticket
+            else -> error("$event is not administrative")
+        }
+
+    private fun scheduleSync(
+        replica: SimulatedReplica,
+        token: Long,
+    ) {
+        val start = replica.start
+        after(random.nextLong(1, if (slowPercent > 0) 40 else 3)) {
+            if (replica.start == start) {
+                replica.disk.sync(token)
+                deliver(replica.name, ReplicaEvent.StorageSynced(token))
+            }
+        }
+    }
+
+    private fun carryOut(
+        replica: SimulatedReplica,
+        effect: ReplicaEffect,
+    ) {
+        when (effect) {
+            is ReplicaEffect.SendEnvelope -> transmit(replica, effect)
+            is ReplicaEffect.Persist -> replica.disk.write(effect)
+            is ReplicaEffect.ApplyRecords -> apply(replica, effect)
+            is ReplicaEffect.AnswerTicket ->
+                administrative.remove(effect.ticket)?.invoke(effect)
+                    ?: checker.answered(effect)
+            is ReplicaEffect.ReadConfirmed -> checker.readConfirmed(effect.ticket, replica.state!!.appliedIndex)
+            is ReplicaEffect.CaptureSnapshot -> capture(replica, effect.index)
+            is ReplicaEffect.InstallSnapshot -> install(replica, effect)
+            is ReplicaEffect.RecordEvent -> events += effect.event
+            is ReplicaEffect.BecameLeader, is ReplicaEffect.BecameFollower -> Unit
+        }
+    }
+
+    private fun apply(
+        replica: SimulatedReplica,
+        effect: ReplicaEffect.ApplyRecords,
+    ) {
+        effect.records.forEach(checker::applied)
+        val commands = effect.records.filter { it.kind == RecordKind.COMMAND }
+        replica.application = replica.application + commands.map { it.payload.decodeToString() }
+    }
+
+    private fun capture(
+        replica: SimulatedReplica,
+        index: Long,
+    ) {
+        val start = replica.start
+        val bytes = replica.application.joinToString("\n").encodeToByteArray()
+        after(random.nextLong(1, 50)) {
+            if (replica.start == start) deliver(replica.name, ReplicaEvent.SnapshotCaptured(index, bytes))
+        }
+    }
+
+    private fun install(
+        replica: SimulatedReplica,
+        effect: ReplicaEffect.InstallSnapshot,
+    ) {
+        replica.application =
+            effect.bytes
+                .decodeToString()
+                .split("\n")
+                .filter { it.isNotEmpty() }
+        checker.installed(effect.index, replica.application)
+    }
+
+    private fun transmit(
+        sender: SimulatedReplica,
+        effect: ReplicaEffect.SendEnvelope,
+    ) {
+        val envelope = effect.envelope
+        checker.sent(envelope, sender.disk)
+        if (recordMessages) sentMessages += envelope
+        val copies = if (random.nextInt(100) < duplicationPercent) 2 else 1
+        repeat(copies) {
+            if (random.nextInt(100) < lossPercent) return@repeat
+            val delay = if (random.nextInt(100) < slowPercent) random.nextLong(2_000) else random.nextLong(1, 20)
+            after(delay) {
+                val cut = (sender.name to effect.recipient.address) in cuts
+                if (!cut) deliver(effect.recipient.address, ReplicaEvent.EnvelopeReceived(envelope))
+            }
+        }
+    }
+
+    fun isHealthy(): Boolean {
+        val states = replicas.values.mapNotNull { it.state }.filter { it.self.name !in spare }
+        val voters =
+            checker.membership.voters
+                .map { it.identity }
+                .toSet()
+        return leader != null && checker.membership.learners.isEmpty() &&
+            states.all { it.self.identity in voters && it.appliedIndex == checker.committed.size.toLong() }
+    }
+
+    private companion object {
+        const val TICK = 100L
+    }
+}
