--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
@@ -44,16 +44,28 @@
     record(ConsensusEvent.GROUP_JOINED, "group" to group)
 }
 
+/**
+ * An unadmitted replica asks, and so does one that hears from no leader: the record of its admission may have been lost
+ * with its leader's term, even if its own log still holds it. A leader ignores the request of a member.
+ */
 internal fun ReplicaStep.askToJoinWhenDue() {
-    if (state.joinAt > now) return
+    val forgotten = now - state.leaderHeardAt >= settings.electionTimeoutMaximum
+    if (state.joinAt > now || state.group != null && !forgotten) return
     state = state.copy(joinAt = now + settings.joinInterval)
     settings.peers.forEach { send(ReplicaMember(it.name, "", it.address), ReplicaMessage.JoinRequest) }
 }
 
+internal fun ReplicaStep.isMember(replica: ReplicaMember): Boolean =
+    (state.requiredMemberships + state.membership).any { membership ->
+        membership.voters.any { it.identity == replica.identity } ||
+            membership.learners.any { it.member.identity == replica.identity }
+    }
+
 internal fun ReplicaStep.receiveJoinRequest(envelope: ReplicaEnvelope) {
     val leader = leading ?: return
     val sender = envelope.sender
-    if (sender.identity in leader.progress) return
+    val otherGroup = envelope.group.isNotEmpty() && envelope.group != state.group
+    if (otherGroup || sender.identity in leader.progress) return
     val membership = state.membership
     val voter = membership.voters.find { it.name == sender.name }
     val learner = membership.learners.find { it.member.name == sender.name }
@@ -73,14 +85,14 @@
     return progress.heard && now - progress.answeredAt < settings.electionTimeoutMinimum
 }
 
+/**
+ * A displaced learner is not retired. It never voted, and if a late request of an older identity displaced it, it must be
+ * able to ask again.
+ */
 private fun Membership.withLearner(
     learner: Learner,
-    lost: Learner?,
-): Membership =
-    copy(
-        learners = learners.filter { it != lost } + learner,
-        retired = (retired + listOfNotNull(lost?.member?.identity)).takeLast(RETIRED_IDENTITIES),
-    )
+    displaced: Learner?,
+): Membership = copy(learners = learners.filter { it != displaced } + learner)
 
 internal fun ReplicaStep.admit(
     ticket: Long,
@@ -195,7 +207,7 @@
         "voters" to membership.voters.joinToString { "${it.name} ${it.identity}" },
         "learners" to membership.learners.joinToString { "${it.member.name} ${it.member.identity}" },
     )
-    if (state.self.identity in membership.retired) record(ConsensusEvent.IDENTITY_RETIRED)
+    if (state.isRetired(state.self.identity)) record(ConsensusEvent.IDENTITY_RETIRED)
     if (leading == null) return
     updateRecipients()
     if (membership.voters.none { it.identity == state.self.identity }) becomeFollower(null)
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -102,11 +102,9 @@
 
 private fun ReplicaStep.tick() {
     expireRequests(now - settings.forwardTimeout)
-    when {
-        state.group == null -> askToJoinWhenDue()
-        leading != null -> leadOnTick()
-        else -> campaignWhenDue()
-    }
+    if (leading != null) return leadOnTick()
+    askToJoinWhenDue()
+    campaignWhenDue()
 }
 
 private fun ReplicaStep.stop() {
@@ -163,7 +161,7 @@
         // The vote that the request asks for is left to the next round, when the admission is synced.
         if (message is ReplicaMessage.VoteRequest) return
     }
-    if (envelope.group != state.group || envelope.sender.identity in state.membership.retired) return
+    if (envelope.group != state.group || state.isRetired(envelope.sender.identity)) return
     dispatch(envelope, message)
 }
 
@@ -196,5 +194,3 @@
         else -> Unit
     }
 }
-
-private fun ReplicaStep.isMember(sender: ReplicaMember): Boolean = sender.identity in otherMembers().map { it.identity }
