--- a/common/src/main/kotlin/hawthorncrank/common/Settings.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/Settings.kt
@@ -47,9 +47,15 @@
     detail: String,
 ): SettingsFailure {
     val oneLine = detail.lineSequence().joinToString(" ") { it.trim() }
+    val missingKey = MISSING_KEY.find(oneLine)
+    if (missingKey != null) {
+        val remedy = "add it or correct its spelling; the sample settings show it"
+        return SettingsFailure.InvalidValue(file, missingKey.groupValues[1], "it is missing", remedy)
+    }
     val unknownKey = UNKNOWN_KEY.find(oneLine) ?: return SettingsFailure.MalformedFile(file, oneLine)
     return SettingsFailure.UnknownKey(file, unknownKey.groupValues[1])
 }
 
+private val MISSING_KEY = Regex("""Missing required property <([^>]+)>""")
 private val UNKNOWN_KEY = Regex("""(?i)unknown key[^<\["']*[<\["']([^>\]"']+)""")
 private val toml = Toml(inputConfig = TomlInputConfig(ignoreUnknownNames = false))
--- a/control/src/main/kotlin/hawthorncrank/control/ControlRecords.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlRecords.kt
@@ -73,19 +73,23 @@
 
 /**
  * What the group knows of an entry. [replica] is where it is linked, or null after its link has been closed for a while.
- * Claims below [firstClaimNumber] date from before its last restart, so nobody works on them.
+ * Claims below [firstClaimNumber] date from before its last restart, so nobody works on them. [link] is the command that
+ * reported the link.
  */
 @Serializable
 data class EntryPresence(
     val replica: String?,
     val firstClaimNumber: Long,
+    val link: String = "",
 )
 
+/** A lifted conviction is kept until it expires, since entries report what they know again when they reconnect. */
 @Serializable
 data class ConvictionRecord(
     val crashes: Int,
     val expiresAt: Long,
     val reportedBy: String,
+    val lifted: Boolean = false,
 )
 
 @Serializable
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -0,0 +1,90 @@
+package hawthorncrank.control
+
+import hawthorncrank.common.KeyHash
+import hawthorncrank.common.SettingsFailure
+import hawthorncrank.common.SettingsFailure.InvalidValue
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** The settings file of a control replica. Everything that operators change while the fleet runs is replicated. */
+@Serializable
+data class ControlSettings(
+    val name: String,
+    @SerialName("availability_zone")
+    val availabilityZone: String,
+    val region: String,
+    @SerialName("data_folder")
+    val dataFolder: String,
+    @SerialName("link_address")
+    val linkAddress: String,
+    @SerialName("http_address")
+    val httpAddress: String,
+    @SerialName("fleet_key")
+    val fleetKey: String,
+    val replicas: List<ReplicaSettingsEntry>,
+    val operators: List<OperatorSettingsEntry> = emptyList(),
+)
+
+/** A control replica and its link address; the list includes this one. */
+@Serializable
+data class ReplicaSettingsEntry(
+    val name: String,
+    val address: String,
+)
+
+/** An operator and the hash of the key that proves it. */
+@Serializable
+data class OperatorSettingsEntry(
+    val name: String,
+    @SerialName("key_hash")
+    val keyHash: String,
+)
+
+/** Finds the first setting that cannot be used; null means that there is none. */
+fun ControlSettings.firstFailure(file: String): SettingsFailure? =
+    firstEmpty(file)
+        ?: firstMalformedAddress(file)
+        ?: when {
+            replicas.none { it.name == name } ->
+                InvalidValue(file, "replicas", "\"$name\" is not among them", "list every replica, this one included")
+            replicas.distinctBy { it.name }.size < replicas.size ->
+                InvalidValue(file, "replicas.name", "a name appears twice", "give each replica its own name")
+            replicas.distinctBy { it.address }.size < replicas.size ->
+                InvalidValue(file, "replicas.address", "an address appears twice", "give each replica its own address")
+            replicas.size > MAXIMUM_REPLICAS ->
+                InvalidValue(file, "replicas", "there are ${replicas.size}", "list at most $MAXIMUM_REPLICAS")
+            operators.distinctBy { it.name }.size < operators.size ->
+                InvalidValue(file, "operators.name", "a name appears twice", "give each operator its own name")
+            operators.any { !KeyHash.isWellFormed(it.keyHash) } ->
+                InvalidValue(
+                    file,
+                    "operators.key_hash",
+                    "it is not a key hash",
+                    "write the line that \"hawthorncrank hash-key\" prints",
+                )
+            else -> null
+        }
+
+private fun ControlSettings.firstEmpty(file: String): SettingsFailure? =
+    listOf(
+        "name" to name,
+        "availability_zone" to availabilityZone,
+        "region" to region,
+        "data_folder" to dataFolder,
+        "fleet_key" to fleetKey,
+    ).firstOrNull { (_, value) -> value.isBlank() }
+        ?.let { (key, _) -> InvalidValue(file, key, "it is empty", "write a value; the sample settings show one") }
+
+private fun ControlSettings.firstMalformedAddress(file: String): SettingsFailure? =
+    (
+        listOf("link_address" to linkAddress, "http_address" to httpAddress) +
+            replicas.map { "replicas.address" to it.address }
+    ).firstOrNull { (_, address) -> !isListenAddress(address) }
+        ?.let { (key, address) ->
+            InvalidValue(file, key, "\"$address\" is not an address", "write IP and port, as in \"127.0.0.1:7101\"")
+        }
+
+/** Port 0 stands for any free port. */
+private fun isListenAddress(text: String) = isAddress(text) || (text.endsWith(":0") && isAddress("${text}1"))
+
+private const val MAXIMUM_REPLICAS = 7
--- a/control/src/main/kotlin/hawthorncrank/control/StateSizes.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/StateSizes.kt
@@ -22,7 +22,7 @@
 
 /**
  * Measures the sizes for [configuration], which must have an organisation, and for answers of [answerBytes]. Sizes per
- * claim and per history entry are means over 1,000 of them.
+ * claim are means over 1,000 claims, and those per history entry over 100 changes.
  */
 fun measureStateSizes(
     configuration: Configuration,
@@ -34,14 +34,14 @@
     val held = claims.fold(empty) { state, command -> applied(state, command) }
     val outcomes = held.claims.entries.map { (key, record) -> outcomeCommand(key, record.claimNumber, answerBytes) }
     val finished = outcomes.fold(held) { state, command -> applied(state, command) }
-    val changed = List(SAMPLES) { it }.fold(empty) { state, number -> applied(state, changeCommand(state, number)) }
+    val changed = List(CHANGES) { it }.fold(empty) { state, number -> applied(state, changeCommand(state, number)) }
     val emptyBytes = ControlCodec.encode(empty).size
     return StateSizes(
         claimCommand = ControlCodec.encode(claims.last()).size,
         outcomeCommand = ControlCodec.encode(outcomes.last()).size,
         heldClaimState = (ControlCodec.encode(held).size - emptyBytes) / SAMPLES,
         finishedClaimState = (ControlCodec.encode(finished).size - emptyBytes) / SAMPLES,
-        historyEntryState = (ControlCodec.encode(changed).size - emptyBytes) / SAMPLES,
+        historyEntryState = (ControlCodec.encode(changed).size - emptyBytes) / CHANGES,
         changeCommand = ControlCodec.encode(changeCommand(empty, 1)).size,
         configurationState = emptyBytes - ControlCodec.encode(ControlState(version = 1)).size,
     )
@@ -96,6 +96,9 @@
 private fun sampleIdentifier(number: Int) = number.toString().padStart(SAMPLE_IDENTIFIER_LENGTH, '0')
 
 private const val SAMPLES = 1_000
+
+// Every change validates the whole configuration.
+private const val CHANGES = 100
 private const val SAMPLE_IDENTIFIER_LENGTH = 36
 private const val SAMPLE_STATUS = 200
 private const val SAMPLE_WALL_TIME = 1_800_000_000_000L
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationProposals.kt
@@ -0,0 +1,96 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.control.ControlCodec
+import hawthorncrank.control.ControlCommand
+import hawthorncrank.control.ControlOperation
+import hawthorncrank.control.validateConfiguration
+import hawthorncrank.protocol.ConfigurationDelta
+import hawthorncrank.protocol.NamedChanges
+import hawthorncrank.protocol.OperatorAnswer
+import hawthorncrank.protocol.OperatorCommand
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.canonical
+import hawthorncrank.protocol.configurationDelta
+
+/**
+ * Proposes a configuration as the difference to its base. On any base but the current version the group can only answer
+ * with a conflict or with the first answer to a resend, so the difference is then left empty.
+ */
+internal fun ControlStep.proposeConfiguration(
+    use: TicketUse.OperatorRead,
+    command: OperatorCommand.ProposeConfiguration,
+) {
+    val failures = validateConfiguration(command.configuration)
+    if (failures.isNotEmpty()) {
+        val answer = state.control.invalid(failures.map { it.problem }, failures.first().remedy).answer
+        return answer(use.requester, answer)
+    }
+    val base = command.baseVersion
+    val delta =
+        if (base == state.control.version) {
+            val next = command.configuration.canonical()
+            configurationDelta(base, state.control.configuration, base + 1, next)
+        } else {
+            ConfigurationDelta(base, base + 1)
+        }
+    if (delta == ConfigurationDelta(base, base + 1) && base == state.control.version && !isRemembered(command)) {
+        return answer(use.requester, OperatorAnswer.Refused("the configuration already says this", "nothing to change"))
+    }
+    val parts = splitDelta(delta)
+    val staged =
+        parts.dropLast(1).mapIndexed { number, part ->
+            ControlOperation.StageChange(command.commandIdentifier, number, part)
+        }
+    val operation = ControlOperation.ChangeConfiguration(command.reason, parts.last(), staged.size)
+    val lifetime = (use.deadline - now).coerceAtLeast(MINIMUM_LIFETIME_MILLISECONDS)
+    propose(command.commandIdentifier, use.operator, operation, use.requester, lifetime, staged)
+}
+
+private fun ControlStep.isRemembered(command: OperatorCommand.ProposeConfiguration) =
+    command.commandIdentifier in state.control.answers
+
+/**
+ * Splits a change that does not fit into one command. Upstreams and organisations are what grows; organisations go last,
+ * in parts of bounded size.
+ */
+internal fun splitDelta(delta: ConfigurationDelta): List<ConfigurationDelta> {
+    if (sizeOf(delta) <= PART_BYTES) return listOf(delta)
+    val organisations = chunks(delta.organisations.changed)
+    val rest =
+        listOf(
+            delta.copy(organisations = NamedChanges(), upstreams = NamedChanges()),
+            ConfigurationDelta(delta.baseVersion, delta.version, upstreams = delta.upstreams),
+            ConfigurationDelta(
+                delta.baseVersion,
+                delta.version,
+                organisations = NamedChanges(removed = delta.organisations.removed),
+            ),
+        )
+    return rest +
+        organisations.map { ConfigurationDelta(delta.baseVersion, delta.version, organisations = NamedChanges(it)) }
+}
+
+private fun chunks(organisations: List<Organisation>): List<List<Organisation>> {
+    val chunks = ArrayList<List<Organisation>>()
+    var chunk = ArrayList<Organisation>()
+    var bytes = 0
+    organisations.forEach { organisation ->
+        val size = sizeOf(ConfigurationDelta(0, 0, organisations = NamedChanges(listOf(organisation))))
+        if (bytes + size > PART_BYTES && chunk.isNotEmpty()) {
+            chunks += chunk
+            chunk = ArrayList()
+            bytes = 0
+        }
+        chunk += organisation
+        bytes += size
+    }
+    chunks += chunk
+    return chunks
+}
+
+private fun sizeOf(delta: ConfigurationDelta): Int =
+    ControlCodec.encode(ControlCommand("", "", 0, 0, ControlOperation.ChangeConfiguration("", delta))).size
+
+// Below the 512 KiB of one command by more than the reason, the names and the identifiers take.
+private const val PART_BYTES = 384 * 1_024
+private const val MINIMUM_LIFETIME_MILLISECONDS = 1_000L
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -0,0 +1,52 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.common.EventCode
+import hawthorncrank.consensus.ReplicaEffect
+import hawthorncrank.control.ControlState
+import hawthorncrank.control.FencingNumber
+import hawthorncrank.protocol.EngineOrder
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.WireMessage
+
+/** What the process must do, in order. */
+internal sealed interface ControlEffect {
+    data class Persist(
+        val effect: ReplicaEffect.Persist,
+    ) : ControlEffect
+
+    /** Encode the state and send it back as `SnapshotCaptured`. */
+    data class EncodeSnapshot(
+        val index: Long,
+        val state: ControlState,
+    ) : ControlEffect
+
+    data class SendToReplica(
+        val replica: String,
+        val envelope: ReplicaEnvelope,
+    ) : ControlEffect
+
+    data class SendToLink(
+        val link: Long,
+        val message: WireMessage,
+    ) : ControlEffect
+
+    /** Post the order to the engine; it expires at [expiresAtWallTime]. */
+    data class PostOrder(
+        val upstream: String,
+        val address: String,
+        val order: EngineOrder,
+        val fencing: FencingNumber,
+        val expiresAtWallTime: Long,
+    ) : ControlEffect
+
+    /** A command was applied this long after it arrived here. */
+    data class MeasureCommand(
+        val kind: String,
+        val milliseconds: Long,
+    ) : ControlEffect
+
+    data class Record(
+        val event: EventCode,
+        val fields: Map<String, Any?>,
+    ) : ControlEffect
+}
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
@@ -0,0 +1,154 @@
+package hawthorncrank.control.internal
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import hawthorncrank.common.EventLog
+import hawthorncrank.consensus.ReplicaEvent
+import hawthorncrank.control.ControlSettings
+import hawthorncrank.link.Link
+import hawthorncrank.link.LinkClient
+import hawthorncrank.link.LinkFailure
+import hawthorncrank.link.LinkListener
+import hawthorncrank.link.LinkServer
+import hawthorncrank.link.LinkSettings
+import hawthorncrank.link.linkClient
+import hawthorncrank.link.linkServer
+import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.LinkRole
+import hawthorncrank.protocol.OperatorAnswer
+import hawthorncrank.protocol.OperatorRequest
+import hawthorncrank.protocol.OperatorResponse
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.WireMessage
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * The links of a control replica. Every replica opens a link to each other one and sends on that; it accepts links of
+ * entries, operators and replicas. A message counts only when it fits the role that the link's handshake proved.
+ */
+internal class ControlLinks(
+    private val settings: ControlSettings,
+    private val keys: OperatorKeys,
+    private val log: EventLog,
+    private val send: (ControlEvent) -> Unit,
+) : AutoCloseable {
+    private val own = LinkSettings(LinkRole.REPLICA, settings.name, settings.fleetKey)
+    private val numbers = AtomicLong()
+    private val byLink = ConcurrentHashMap<Link, Long>()
+    private val byNumber = ConcurrentHashMap<Long, Link>()
+    private val toReplicas = ConcurrentHashMap<String, Link>()
+    private val clients = ArrayList<LinkClient>()
+    private var server: LinkServer? = null
+
+    val port: Int get() = server?.port ?: 0
+
+    fun listen(): Result<Unit, LinkFailure> =
+        linkServer(own, settings.linkAddress, ServerListener(), log, ACCEPTED_ROLES).map { server = it }
+
+    fun connect() {
+        settings.replicas.filter { it.name != settings.name }.forEach { replica ->
+            linkClient(own, listOf(replica.address), ReplicaListener(replica.name), log)
+                .fold(success = { clients += it }, failure = { error(it.message) })
+        }
+    }
+
+    fun sendToReplica(
+        name: String,
+        envelope: ReplicaEnvelope,
+    ) {
+        toReplicas[name]?.send(envelope)
+    }
+
+    fun sendToLink(
+        number: Long,
+        message: WireMessage,
+    ) {
+        byNumber[number]?.send(message)
+    }
+
+    override fun close() {
+        clients.forEach { it.close() }
+        server?.close()
+    }
+
+    private inner class ReplicaListener(
+        private val replica: String,
+    ) : LinkListener {
+        override fun opened(link: Link) {
+            toReplicas[replica] = link
+        }
+
+        override fun received(
+            link: Link,
+            message: WireMessage,
+        ) = Unit
+
+        override fun closed(
+            link: Link,
+            reason: String,
+        ) {
+            toReplicas.remove(replica, link)
+        }
+    }
+
+    private inner class ServerListener : LinkListener {
+        override fun opened(link: Link) {
+            val number = numbers.incrementAndGet()
+            byLink[link] = number
+            byNumber[number] = link
+        }
+
+        override fun received(
+            link: Link,
+            message: WireMessage,
+        ) {
+            val number = byLink[link] ?: return
+            when {
+                message is ReplicaEnvelope && link.peerRole == LinkRole.REPLICA ->
+                    send(ControlEvent.Replica(ReplicaEvent.EnvelopeReceived(message)))
+                message is EntryToControl && link.peerRole == LinkRole.ENTRY ->
+                    send(ControlEvent.EntryMessage(number, link.peerName, message))
+                message is OperatorRequest && link.peerRole == LinkRole.OPERATOR ->
+                    operatorRequest(
+                        link,
+                        number,
+                        message,
+                    )
+                else -> log.record(ControlEventCode.MESSAGE_REFUSED, "peer" to link.peerName, "role" to link.peerRole)
+            }
+        }
+
+        override fun closed(
+            link: Link,
+            reason: String,
+        ) {
+            val number = byLink.remove(link) ?: return
+            byNumber.remove(number)
+            send(ControlEvent.LinkClosed(number))
+        }
+    }
+
+    private fun operatorRequest(
+        link: Link,
+        number: Long,
+        request: OperatorRequest,
+    ) = keys.check(request.operatorName, request.credential) { isRight ->
+        if (isRight) {
+            send(ControlEvent.OperatorMessage(number, request.number, request.operatorName, request.command))
+        } else {
+            log.record(ControlEventCode.OPERATOR_REFUSED, "operator" to request.operatorName)
+            link.send(OperatorResponse(request.number, WRONG_CREDENTIAL))
+        }
+    }
+
+    private companion object {
+        val ACCEPTED_ROLES = setOf(LinkRole.ENTRY, LinkRole.OPERATOR, LinkRole.REPLICA)
+        val WRONG_CREDENTIAL =
+            OperatorAnswer.Refused(
+                "the operator's name or key is not known to this replica",
+                "compare operator and key with [[operators]] in the settings of the control replicas",
+            )
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -0,0 +1,48 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.consensus.ReplicaRole
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.util.concurrent.TimeUnit
+
+/** The metrics of a control replica, read from the newest state when they are asked for. */
+internal class ControlMetrics(
+    private val state: () -> ProcessState,
+) {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    init {
+        gauge("term") { it.replica.term }
+        gauge("leader") { if (it.replica.role == ReplicaRole.LEADER) 1 else 0 }
+        gauge("committed_index") { it.replica.committedIndex }
+        gauge("applied_index") { it.replica.appliedIndex }
+        gauge("last_index") { it.replica.lastIndex }
+        gauge("configuration_version") { it.control.version }
+        gauge("claims") { it.control.claims.size }
+        gauge("convictions") { process -> process.control.convictions.count { !it.value.lifted } }
+        gauge("drains") { it.control.drains.size }
+        gauge("pending_commands") { it.pending.size }
+        gauge("entries_linked") { it.entryLinks.size }
+        gauge("entries_behind") { process -> process.entryLinks.count { it.value.behindSince != null } }
+    }
+
+    fun measure(effect: ControlEffect.MeasureCommand) =
+        Timer
+            .builder("hawthorncrank.control.command")
+            .description("time from a command's arrival here until it is applied here")
+            .tag("kind", effect.kind)
+            .publishPercentileHistogram()
+            .register(registry)
+            .record(effect.milliseconds, TimeUnit.MILLISECONDS)
+
+    fun scrape(): String = registry.scrape()
+
+    private fun gauge(
+        name: String,
+        read: (ProcessState) -> Number,
+    ) {
+        Gauge.builder("hawthorncrank.control.$name") { read(state()) }.register(registry)
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -0,0 +1,143 @@
+package hawthorncrank.control.internal
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import hawthorncrank.common.EventLog
+import hawthorncrank.common.MillisecondClock
+import hawthorncrank.common.SettingsFailure
+import hawthorncrank.consensus.RecoveredReplica
+import hawthorncrank.consensus.ReplicaPeer
+import hawthorncrank.consensus.ReplicaSettings
+import hawthorncrank.consensus.ReplicaStorage
+import hawthorncrank.consensus.StorageFailure
+import hawthorncrank.consensus.replicaReducer
+import hawthorncrank.consensus.startReplica
+import hawthorncrank.control.Control
+import hawthorncrank.control.ControlSettings
+import hawthorncrank.link.LinkFailure
+import reactor.netty.DisposableServer
+import java.security.SecureRandom
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** Ties the threads, links and ports of one control replica together. */
+internal class ControlProcess(
+    private val settings: ControlSettings,
+    private val file: String,
+    private val clock: MillisecondClock,
+    private val log: EventLog,
+    private val storage: ReplicaStorage,
+    recovered: RecoveredReplica,
+    private val failed: () -> Unit,
+) : Control {
+    private val replicaSettings =
+        ReplicaSettings(settings.replicas.filter { it.name != settings.name }.map { ReplicaPeer(it.name, it.address) })
+    private val replica = replicaReducer(replicaSettings)
+    private val thread = controlThread(recovered)
+    private val keys = OperatorKeys(settings.operators)
+    private val links = ControlLinks(settings, keys, log, thread::send)
+    private val disk = StorageThread(storage, log, { thread.send(ControlEvent.Replica(it)) }, failed)
+    private val orders = OrderClient(thread::send)
+    private val metrics = ControlMetrics { thread.state }
+    private val closed = AtomicBoolean()
+    private var server: DisposableServer? = null
+
+    override val linkPort: Int get() = links.port
+    override val httpPort: Int get() = server?.port() ?: 0
+
+    fun open(): Result<Control, SettingsFailure> =
+        links
+            .listen()
+            .mapError(::linkFailure)
+            .andThen { openOperationsPort(file, settings.httpAddress, pages()) }
+            .map { opened ->
+                server = opened
+                disk.start()
+                thread.start()
+                links.connect()
+                log.record(ControlEventCode.STARTED, "replica" to settings.name, "zone" to settings.availabilityZone)
+                this
+            }
+
+    override fun close() {
+        if (!closed.compareAndSet(false, true)) return
+        thread.send(ControlEvent.Stop)
+        thread.stop()
+        disk.stop()
+        links.close()
+        keys.close()
+        server?.disposeNow()
+        log.record(ControlEventCode.STOPPED, "replica" to settings.name)
+    }
+
+    private fun controlThread(recovered: RecoveredReplica): ControlThread {
+        val now = clock.now()
+        val seed = SecureRandom().nextLong()
+        val started =
+            startReplica(replicaSettings, settings.name, settings.linkAddress, recovered, seed, now).let { transition ->
+                val state =
+                    ProcessState(
+                        replica = transition.state,
+                        nonce = UUID.randomUUID().toString(),
+                        startedAt = now,
+                        wallOffset = clock.wallTime() - now,
+                    )
+                startedProcess(replica, state, transition.effects, now)
+            }
+        return ControlThread(controlReducer(replica), started, clock, log, ::carryOut, failed)
+    }
+
+    private fun carryOut(effect: ControlEffect) {
+        when (effect) {
+            is ControlEffect.Persist, is ControlEffect.EncodeSnapshot -> disk.submit(effect)
+            is ControlEffect.SendToReplica -> links.sendToReplica(effect.replica, effect.envelope)
+            is ControlEffect.SendToLink -> links.sendToLink(effect.link, effect.message)
+            is ControlEffect.PostOrder -> orders.post(effect)
+            is ControlEffect.MeasureCommand -> metrics.measure(effect)
+            is ControlEffect.Record -> log.record(effect.event, effect.fields)
+        }
+    }
+
+    private fun pages() =
+        OperationsPages(
+            healthProblem = {
+                val silence = clock.now() - thread.reducedAt
+                if (silence > HEALTH_MILLISECONDS) "no decision for $silence ms; restart the process" else null
+            },
+            readinessProblem = {
+                val state = thread.state.replica
+                when {
+                    thread.state.stopping -> "stopping"
+                    state.group == null -> "belongs to no group; form one with: hawthorncrank form"
+                    state.leader == null -> "no leader is known; check that a majority of replicas runs"
+                    else -> null
+                }
+            },
+            metrics = metrics::scrape,
+        )
+
+    private fun linkFailure(failure: LinkFailure): SettingsFailure =
+        when (failure) {
+            is LinkFailure.AddressUnavailable ->
+                SettingsFailure.PortInUse(file, "link_address", settings.linkAddress)
+            is LinkFailure.MalformedAddress ->
+                SettingsFailure.InvalidValue(file, "link_address", failure.problem, failure.remedy)
+        }
+
+    private companion object {
+        const val HEALTH_MILLISECONDS = 5_000L
+    }
+}
+
+internal fun storageFailure(
+    file: String,
+    settings: ControlSettings,
+    failure: StorageFailure,
+): SettingsFailure =
+    when (failure) {
+        is StorageFailure.Unusable -> SettingsFailure.UnwritableFolder(file, "data_folder", settings.dataFolder)
+        is StorageFailure.Corrupt, is StorageFailure.InUse ->
+            SettingsFailure.InvalidValue(file, "data_folder", failure.problem, failure.remedy)
+    }
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
@@ -0,0 +1,94 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.consensus.ReplicaEvent
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.Conviction
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.plus
+
+/*
+ * What entries are sent without asking. A new version goes out at once as an unconfirmed change, and again as confirmed
+ * after a read index that began later; an entry that cannot use a change gets the whole configuration, only confirmed.
+ */
+
+internal fun ControlStep.streamChange() {
+    val delta = state.control.lastDelta ?: return
+    record(ControlEventCode.CONFIGURATION_CHANGED, "version" to delta.version, "by" to state.control.changedBy)
+    state.entryLinks.forEach { (link, session) ->
+        if (session.heldVersion != delta.baseVersion || delta.baseVersion == 0L) return@forEach
+        send(link, ControlToEntry.ConfigurationChange(delta, confirmed = false))
+        state = state.copy(entryLinks = state.entryLinks.put(link, session.copy(heldVersion = delta.version)))
+    }
+    confirmEntries(state.entryLinks.keys)
+}
+
+internal fun ControlStep.streamConvictions() = state.entryLinks.keys.forEach(::sendConvictions)
+
+internal fun ControlStep.streamDrains() = state.entryLinks.keys.forEach(::sendDrains)
+
+internal fun ControlStep.sendConvictions(link: Long) {
+    val clock = state.clock(now)
+    val inForce =
+        state.control.convictions
+            .filterValues { !it.lifted && it.expiresAt > clock }
+            .map { (digest, record) -> Conviction(digest, record.crashes, record.expiresAt - clock) }
+    send(link, ControlToEntry.ConvictionUpdate(state.control.convictionRevision, inForce))
+}
+
+internal fun ControlStep.sendDrains(link: Long) =
+    send(
+        link,
+        ControlToEntry.DrainUpdate(
+            state.control.drainRevision,
+            state.control.drains.keys
+                .sorted(),
+        ),
+    )
+
+/** Queues these links for a confirmation whose read starts now or, if one is under way, after it. */
+internal fun ControlStep.confirmEntries(links: Collection<Long>) {
+    if (links.isEmpty()) return
+    state = state.copy(confirmation = state.confirmation.copy(next = state.confirmation.next + links))
+    startConfirmation()
+}
+
+internal fun ControlStep.startConfirmation() {
+    val confirmation = state.confirmation
+    if (confirmation.ticket != null || confirmation.next.isEmpty() || now < confirmation.retryAt) return
+    val ticket = ticket(TicketUse.ConfirmEntries)
+    state = state.copy(confirmation = Confirmation(ticket, current = confirmation.next))
+    toReplica(ReplicaEvent.RequestRead(ticket))
+}
+
+/** Without a leader nothing is confirmed; the links wait for the next try. */
+internal fun ControlStep.confirmationRefused() {
+    val confirmation = state.confirmation
+    val waiting = confirmation.next + confirmation.current
+    state = state.copy(confirmation = Confirmation(next = waiting, retryAt = now + CONFIRMATION_RETRY_MILLISECONDS))
+}
+
+internal fun ControlStep.entriesConfirmed() {
+    val links = state.confirmation.current
+    state = state.copy(confirmation = state.confirmation.copy(ticket = null, current = persistentSetOf()))
+    links.forEach(::sendConfirmed)
+    startConfirmation()
+}
+
+private fun ControlStep.sendConfirmed(link: Long) {
+    val session = state.entryLinks[link] ?: return
+    val version = state.control.version
+    if (version == 0L || session.confirmedVersion == version) return
+    val delta = state.control.lastDelta?.takeIf { it.version == version && it.baseVersion > 0 }
+    val fits = delta != null && session.heldVersion in delta.baseVersion..version && session.heldVersion > 0
+    if (delta != null && fits) {
+        send(link, ControlToEntry.ConfigurationChange(delta, confirmed = true))
+    } else {
+        send(link, ControlToEntry.ConfigurationUpdate(version, state.control.configuration, confirmed = true))
+    }
+    val updated = session.copy(heldVersion = version, confirmedVersion = version)
+    state = state.copy(entryLinks = state.entryLinks.put(link, updated))
+}
+
+internal fun Confirmation.without(link: Long) = copy(current = current.remove(link), next = next.remove(link))
+
+private const val CONFIRMATION_RETRY_MILLISECONDS = 500L
--- a/control/src/main/kotlin/hawthorncrank/control/internal/FleetOperations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/FleetOperations.kt
@@ -6,7 +6,7 @@
 import hawthorncrank.control.ConvictionRecord
 import hawthorncrank.control.EntryPresence
 
-/** Convicts a content. A report that knows of no further crash does not prolong the conviction. */
+/** Convicts a content. A report that knows of no further crash neither prolongs nor renews a conviction. */
 internal fun ControlState.convict(
     operation: ControlOperation.Convict,
     context: CommandContext,
@@ -25,8 +25,11 @@
     context: CommandContext,
 ): Answered {
     val digest = operation.contentDigest
-    if (digest !in convictions) return refused("there is no conviction of $digest", "look at: hawthorncrank status")
-    val lifted = copy(convictions = convictions.remove(digest), convictionRevision = convictionRevision + 1)
+    val record =
+        convictions[digest]?.takeIf { !it.lifted }
+            ?: return refused("there is no conviction of $digest", "look at: hawthorncrank status")
+    val kept = convictions.put(digest, record.copy(lifted = true))
+    val lifted = copy(convictions = kept, convictionRevision = convictionRevision + 1)
     val what = listOf("conviction of $digest lifted")
     return lifted.recorded(context, what, "").accepted(what)
 }
@@ -54,10 +57,14 @@
     return copy(drains = next, drainRevision = drainRevision + 1)
 }
 
-internal fun ControlState.entryLinked(operation: ControlOperation.EntryLinked): ControlState {
+internal fun ControlState.entryLinked(
+    operation: ControlOperation.EntryLinked,
+    context: CommandContext,
+): ControlState {
     val known = entries[operation.entry]
+    if (known?.link == context.command.identifier) return this
     val first = if (operation.fresh) nextClaimNumber else known?.firstClaimNumber ?: 0
-    val presence = EntryPresence(operation.replica, first)
+    val presence = EntryPresence(operation.replica, first, context.command.identifier)
     return copy(entries = entries.remove(operation.entry).put(operation.entry, presence).limited(ENTRY_LIMIT))
 }
 
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
@@ -0,0 +1,133 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.consensus.ReplicaRole
+import hawthorncrank.control.ControlOperation
+import hawthorncrank.control.OrderRecord
+import hawthorncrank.control.OrderStatus
+import hawthorncrank.control.PlanStatus
+import hawthorncrank.control.WEIGHT_TOKEN
+import hawthorncrank.protocol.EngineOrder
+
+/** What only the leader does unasked: returns due plans, moves the replicated clock, and carries orders to engines. */
+internal fun ControlStep.leaderDuties() {
+    val leaderSince = state.leaderSince ?: return
+    if (state.stopping || state.replica.role != ReplicaRole.LEADER) return
+    returnDuePlans()
+    moveClock()
+    if (now - leaderSince >= ORDER_PAUSE_MILLISECONDS) carryOrders()
+}
+
+private fun ControlStep.returnDuePlans() {
+    state.control.plans
+        .filterValues { it.status == PlanStatus.CONFIRMED && (it.returnsAtWallTime ?: Long.MAX_VALUE) <= wallTime }
+        .keys
+        .forEach { number ->
+            if ("return/$number" in state.pending) return@forEach
+            record(ControlEventCode.PLAN_RETURNED, "plan" to number)
+            proposeOwn("return/$number", ControlOperation.ReturnPlan(number))
+        }
+}
+
+private fun ControlStep.moveClock() {
+    val control = state.control
+    val expires = control.finishedClaims.isNotEmpty() || control.convictions.isNotEmpty() || control.claims.isNotEmpty()
+    if (!expires || state.clock(now) - control.clock < CLOCK_INTERVAL_MILLISECONDS) return
+    proposeOwn("clock", ControlOperation.AdvanceClock)
+}
+
+/**
+ * Gives pending orders a fencing number of this term, one load at a time as the weight store has room, and posts those
+ * that have one. Nothing is posted unless a majority was heard within the order's lifetime, so no order outlives this
+ * leader's time by more than that.
+ */
+private fun ControlStep.carryOrders() {
+    val term = state.replica.term
+    val pending = state.control.orders.filterValues { it.isPending }
+    pending.filterValues { it.fencing?.term != term }.let(::issueOrders)
+    val contact = state.replica.majorityContact ?: return
+    val lifetime = ORDER_LIFETIME_MILLISECONDS - (now - contact)
+    if (lifetime < MINIMUM_ORDER_LIFETIME_MILLISECONDS) return
+    pending
+        .filterValues { it.fencing?.term == term && it.status == OrderStatus.ISSUED }
+        .forEach { (upstream, record) -> post(upstream, record, wallTime + lifetime) }
+}
+
+private fun ControlStep.issueOrders(orders: Map<String, OrderRecord>) {
+    val (loads, others) = orders.entries.partition { it.value.order is EngineOrder.LoadModel && !it.value.holdsToken }
+    others.forEach { (upstream, _) -> issue(upstream) }
+    val hasRoom = state.control.copy(clock = state.clock(now)).availableTokens() >= WEIGHT_TOKEN
+    if (hasRoom) loads.minByOrNull { it.value.requestedAt }?.let { issue(it.key) }
+}
+
+private fun ControlStep.issue(upstream: String) =
+    proposeOwn("issue/$upstream/${state.replica.term}", ControlOperation.IssueOrder(upstream))
+
+private fun ControlStep.post(
+    upstream: String,
+    record: OrderRecord,
+    expiresAtWallTime: Long,
+) {
+    val fencing = record.fencing ?: return
+    val known = state.orderAttempts[upstream]?.takeIf { it.fencing == fencing }
+    if (known != null && (known.inFlight || now < known.retryAt)) return
+    val address =
+        state.control.configuration.upstreams
+            .find { it.name == upstream }
+            ?.address ?: return end(upstream, record, succeeded = false, "the engine is no longer configured")
+    val attempt = known?.copy(inFlight = true) ?: OrderAttempt(fencing, firstAt = now, inFlight = true)
+    state = state.copy(orderAttempts = state.orderAttempts.put(upstream, attempt))
+    record(ControlEventCode.ORDER_POSTED, "upstream" to upstream, "fencing" to fencing, "order" to record.order.words())
+    emit(ControlEffect.PostOrder(upstream, address, record.order, fencing, expiresAtWallTime))
+}
+
+/** An engine that is away gets the order again; one that keeps refusing it ends the order. */
+internal fun ControlStep.orderAnswered(event: ControlEvent.OrderAnswered) {
+    val attempt = state.orderAttempts[event.upstream]?.takeIf { it.fencing == event.fencing } ?: return
+    val record = state.control.orders[event.upstream]?.takeIf { it.fencing == event.fencing } ?: return
+    val next = attempt.copy(inFlight = false, retryAt = now + ORDER_RETRY_MILLISECONDS)
+    when (val answer = event.answer) {
+        OrderAnswer.Carried -> end(event.upstream, record, succeeded = true, "carried out")
+        is OrderAnswer.Refused -> {
+            if (next.refusals + 1 >= ORDER_REFUSALS) return end(event.upstream, record, false, answer.detail)
+            keep(event.upstream, next.copy(refusals = next.refusals + 1))
+        }
+        is OrderAnswer.Unreachable -> {
+            if (now - next.firstAt >=
+                ORDER_ABSENCE_MILLISECONDS
+            ) {
+                return end(event.upstream, record, false, answer.detail)
+            }
+            keep(event.upstream, next)
+        }
+    }
+}
+
+private fun ControlStep.keep(
+    upstream: String,
+    attempt: OrderAttempt,
+) {
+    state = state.copy(orderAttempts = state.orderAttempts.put(upstream, attempt))
+}
+
+private fun ControlStep.end(
+    upstream: String,
+    record: OrderRecord,
+    succeeded: Boolean,
+    detail: String,
+) {
+    val fencing = record.fencing ?: return
+    record(ControlEventCode.ORDER_ENDED, "upstream" to upstream, "succeeded" to succeeded, "detail" to detail)
+    val operation = ControlOperation.EndOrder(upstream, fencing, succeeded, detail)
+    proposeOwn("end/$upstream/${fencing.term}/${fencing.index}", operation)
+}
+
+// The longest election timeout: orders of an earlier leader have expired by then.
+private const val ORDER_PAUSE_MILLISECONDS = 3_000L
+
+// Shorter than the shortest election timeout of 1.5 s.
+private const val ORDER_LIFETIME_MILLISECONDS = 1_000L
+private const val MINIMUM_ORDER_LIFETIME_MILLISECONDS = 200L
+private const val ORDER_RETRY_MILLISECONDS = 1_000L
+private const val ORDER_ABSENCE_MILLISECONDS = 30_000L
+private const val ORDER_REFUSALS = 3
+private const val CLOCK_INTERVAL_MILLISECONDS = 60_000L
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
@@ -22,7 +22,7 @@
         is ControlOperation.ReturnPlan -> current.returnPlan(operation, context).done()
         is ControlOperation.IssueOrder -> current.issueOrder(operation, context).done()
         is ControlOperation.EndOrder -> current.endOrder(operation, context).done()
-        is ControlOperation.EntryLinked -> current.entryLinked(operation).done()
+        is ControlOperation.EntryLinked -> current.entryLinked(operation, context).done()
         is ControlOperation.EntryLost -> current.entryLost(operation).done()
         ControlOperation.AdvanceClock -> current.done()
         else -> current.answered(context) { answerOperator(operation, context) }
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
@@ -0,0 +1,66 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.consensus.ReplicaRole
+import hawthorncrank.control.OrderStatus
+import hawthorncrank.control.PlanStatus
+import java.time.Instant
+
+/** The state of this replica and what it sees, for an operator to read. Not confirmed by the leader. */
+internal fun ControlStep.statusLines(): List<String> {
+    val replica = state.replica
+    val leader = if (replica.role == ReplicaRole.LEADER) replica.self.name else replica.leader?.name ?: "unknown"
+    return listOf(
+        "replica ${replica.self.name} (identity ${replica.self.identity}): ${replica.role.name.lowercase()}, " +
+            "term ${replica.term}, leader $leader, applied ${replica.appliedIndex} of ${replica.lastIndex}",
+        "  group: ${replica.group ?: "none; form one with: hawthorncrank form"}",
+    ) +
+        replica.membership.voters.map { "  voter ${it.name} at ${it.address} (identity ${it.identity})" } +
+        replica.membership.learners.map { "  learner ${it.member.name}, replaces ${it.replaces ?: "nobody"}" } +
+        fleetLines() + entryLines()
+}
+
+private fun ControlStep.fleetLines(): List<String> {
+    val control = state.control
+    val inForce = control.plans.values.filter { it.status == PlanStatus.CONFIRMED && it.returnsAtWallTime != null }
+    val convictions = control.convictions.filterValues { !it.lifted }
+    val unknown = control.claims.count { (_, record) -> record.outcome == null && control.isOrphaned(record) }
+    val orders = control.orders.filterValues { it.status != OrderStatus.DONE }
+    return listOf(
+        "  configuration version ${control.version}, changed by ${control.changedBy.ifEmpty { "nobody" }}",
+        "  claims: ${control.claims.size}, of them $unknown whose holder is gone",
+    ) +
+        control.drains.map { (upstream, by) -> "  $upstream drains, ordered by $by" } +
+        convictions.map { (digest, record) -> "  convicted $digest after ${record.crashes} crashes" } +
+        inForce.map { "  plan ${it.plan.number} returns at ${instant(it.returnsAtWallTime)}: ${it.plan.words}" } +
+        orders.map { (upstream, order) ->
+            "  order to $upstream (${order.order.words()}): ${order.status.name.lowercase()} ${order.detail}".trimEnd()
+        }
+}
+
+private fun ControlStep.entryLines(): List<String> {
+    val version = state.control.version
+    return state.entryLinks.values.sortedBy { it.entry }.map { session ->
+        val status = session.status
+        val behind = session.behindSince?.let { "BEHIND for ${(now - it) / MILLISECONDS_PER_SECOND} s, " }.orEmpty()
+        val readiness = if (status?.ready == true) "ready" else "not ready"
+        val words =
+            when (status) {
+                null -> "no status yet"
+                else ->
+                    "$readiness, ${behind}version ${status.appliedVersion} of $version, " +
+                        "queued ${status.queued}, in flight ${status.inFlight}"
+            }
+        "  entry ${session.entry} in ${session.availabilityZone}: $words"
+    }
+}
+
+internal fun ControlStep.historyLines(newest: Int): List<String> =
+    state.control.history.values.toList().takeLast(newest.coerceIn(1, HISTORY_SHOWN)).map { entry ->
+        val why = if (entry.why.isEmpty()) "" else " (${entry.why})"
+        "${instant(entry.wallTime)} version ${entry.version} ${entry.by}: ${entry.what.joinToString("; ")}$why"
+    }
+
+private fun instant(wallTime: Long?): String = wallTime?.let { Instant.ofEpochMilli(it).toString() }.orEmpty()
+
+private const val HISTORY_SHOWN = 1_000
+private const val MILLISECONDS_PER_SECOND = 1_000
--- a/control/src/test/kotlin/hawthorncrank/control/ControlStateTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/ControlStateTest.kt
@@ -99,6 +99,10 @@
         apply(ControlOperation.Convict("digest", 2))
         assertIs<OperatorAnswer.Accepted>(operate(ControlOperation.LiftConviction("digest")))
         assertEquals(4, state.convictionRevision)
+        apply(ControlOperation.Convict("digest", 2))
+        assertTrue(state.convictions.getValue("digest").lifted, "a repeated report renews a lifted conviction")
+        apply(ControlOperation.Convict("digest", 3))
+        assertTrue(!state.convictions.getValue("digest").lifted)
     }
 
     @Test
--- /dev/null
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
@@ -0,0 +1,284 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.control.ControlHistory
+import hawthorncrank.control.OrderStatus
+import hawthorncrank.control.PlanStatus
+import hawthorncrank.protocol.CallOutcome
+import hawthorncrank.protocol.ClaimDecision
+import hawthorncrank.protocol.ClaimKey
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.EngineOrder
+import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.OperatorAnswer
+import hawthorncrank.protocol.OperatorCommand
+import hawthorncrank.protocol.Organisation
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+class ControlGroupTest {
+    private val group = VirtualGroup(3)
+    private val first = ControlHistory.initial
+
+    @Test
+    fun `a single replica accepts a configuration and confirms it to its entry`() {
+        val single = VirtualGroup(1)
+        val name = single.leader()
+        single.entry(name, 1, hello(0))
+        assertIs<OperatorAnswer.Accepted>(single.operate(name, proposal(0, "a", first)))
+        val update = single.sent(name, 1).filterIsInstance<ControlToEntry.ConfigurationUpdate>().single()
+        assertEquals(1L to true, update.version to update.confirmed)
+        assertEquals(first, update.configuration)
+    }
+
+    @Test
+    fun `of two proposals on one base one wins, through any replica, and a resend gets the first answer`() {
+        propose(first)
+        val follower = group.follower()
+        val accepted = group.operate(follower, proposal(1, "x", tier(first, 2)))
+        assertEquals(2, assertIs<OperatorAnswer.Accepted>(accepted).version)
+        val conflict =
+            assertIs<OperatorAnswer.Conflict>(group.operate(group.leader(), proposal(1, "y", tier(first, 3))))
+        assertEquals(2L to "operator", conflict.currentVersion to conflict.changedBy)
+        assertEquals(accepted, group.operate(group.leader(), proposal(1, "x", tier(first, 2))))
+        assertEquals(listOf(2L, 2L, 2L), group.states().map { it.control.version })
+    }
+
+    @Test
+    fun `a change reaches an entry within 7 s, unconfirmed at once and then confirmed`() {
+        propose(first)
+        val follower = group.follower()
+        group.entry(follower, 1, hello(0))
+        group.run(1_000)
+        group.operate(group.leader(), proposal(1, "x", tier(first, 2)))
+        group.run(2_000)
+        val changes = group.sent(follower, 1).filterIsInstance<ControlToEntry.ConfigurationChange>()
+        assertEquals(listOf(false, true), changes.map { it.confirmed })
+        assertEquals(tier(first, 2), changes.last().delta.applyTo(first))
+    }
+
+    @Test
+    fun `an isolated replica confirms nothing and refuses claims as not granted`() {
+        propose(first)
+        val isolated = group.leader()
+        group.cut(isolated)
+        group.run(5_000)
+        group.entry(isolated, 1, hello(0))
+        group.entry(isolated, 1, claim("k", "attempt"))
+        group.run(6_000)
+        val sent = group.sent(isolated, 1)
+        assertTrue(sent.none { it is ControlToEntry.ConfigurationUpdate })
+        assertEquals(ClaimDecision.Unavailable, sent.filterIsInstance<ControlToEntry.ClaimAnswer>().single().decision)
+        assertIs<OperatorAnswer.Refused>(group.operate(isolated, OperatorCommand.ShowConfiguration))
+        assertContains(
+            assertIs<OperatorAnswer.Report>(group.operate(isolated, OperatorCommand.Status)).lines[0],
+            "leader unknown",
+        )
+    }
+
+    @Test
+    fun `a claim is granted once across replicas and its outcome answers resends`() {
+        propose(first)
+        val (leader, follower) = group.leader() to group.follower()
+        group.entry(leader, 1, hello(1))
+        group.entry(follower, 2, hello(1))
+        group.entry(leader, 1, claim("k", "one"))
+        group.entry(follower, 2, claim("k", "two"))
+        group.run(1_000)
+        val granted = assertIs<ClaimDecision.Granted>(decision(leader, 1, "one"))
+        assertEquals(ClaimDecision.HeldByOther("entry-1", granted.claimNumber), decision(follower, 2, "two"))
+        val outcome = ControlHistory.answered("booked")
+        group.entry(leader, 1, EntryToControl.OutcomeRecord(key("k"), granted.claimNumber, outcome))
+        group.run(1_000)
+        val recorded = ControlToEntry.OutcomeRecorded(key("k"), granted.claimNumber, accepted = true)
+        assertContains(group.sent(leader, 1), recorded)
+        group.entry(follower, 2, claim("k", "three"))
+        group.run(1_000)
+        assertEquals(ClaimDecision.Finished(outcome), decision(follower, 2, "three"))
+    }
+
+    @Test
+    fun `claims of an entry that is gone become unknown, and an operator resolves them`() {
+        propose(first)
+        val (leader, follower) = group.leader() to group.follower()
+        group.entry(leader, 1, hello(1))
+        group.entry(follower, 2, hello(1))
+        group.entry(leader, 1, claim("k", "one"))
+        group.run(1_000)
+        val resolve = OperatorCommand.ResolveClaim(key("k"), ran = false, commandIdentifier = "r1")
+        assertIs<OperatorAnswer.Refused>(group.operate(leader, resolve))
+        group.deliver(leader, ControlEvent.LinkClosed(1))
+        group.run(12_000)
+        group.entry(follower, 2, claim("k", "two"))
+        group.run(1_000)
+        assertIs<ClaimDecision.OutcomeUnknown>(decision(follower, 2, "two"))
+        assertIs<OperatorAnswer.Accepted>(group.operate(leader, resolve.copy(commandIdentifier = "r2")))
+        group.entry(follower, 2, claim("k", "three"))
+        group.entry(leader, 3, EntryToControl.OutcomeRecord(key("k"), 1, CallOutcome.Unknown), entry = "entry-1")
+        group.run(1_000)
+        assertIs<ClaimDecision.Granted>(decision(follower, 2, "three"))
+        assertContains(group.sent(leader, 3), ControlToEntry.OutcomeRecorded(key("k"), 1, accepted = false))
+    }
+
+    @Test
+    fun `a command survives the loss of the leader and takes effect once`() {
+        propose(first)
+        val (leader, follower) = group.leader() to group.follower()
+        group.cut(leader)
+        val accepted = group.operate(follower, proposal(1, "x", tier(first, 2)).copy(commandIdentifier = "x"))
+        val again = accepted?.takeIf { it is OperatorAnswer.Accepted } ?: retried(follower)
+        assertEquals(2, assertIs<OperatorAnswer.Accepted>(again).version)
+        group.heal()
+        group.run(5_000)
+        assertEquals(listOf(2L, 2L, 2L), group.states().map { it.control.version })
+        assertEquals(
+            1,
+            group
+                .states()
+                .map { it.control }
+                .distinct()
+                .size,
+        )
+    }
+
+    @Test
+    fun `a timed plan returns by itself under a new leader`() {
+        propose(first)
+        val plan = OperatorCommand.PlanIntent("protect slow for 1 min")
+        val report = assertIs<OperatorAnswer.Report>(group.operate(group.follower(), plan))
+        assertContains(report.lines.last(), "confirm 1")
+        assertIs<OperatorAnswer.Accepted>(group.operate(group.follower(), OperatorCommand.ConfirmPlan(1, "c")))
+        group.cut(group.leader())
+        group.run(70_000)
+        val control = group.state(group.leader()).control
+        assertEquals(PlanStatus.RETURNED, control.plans.getValue(1).status)
+        assertEquals(first, control.configuration)
+        assertEquals(3, control.version)
+    }
+
+    @Test
+    fun `an order is issued after the pause of a new leader with a rising fencing number`() {
+        propose(first)
+        val command = OperatorCommand.OrderEngine("engine1", EngineOrder.LoadModel("m"), "o")
+        assertIs<OperatorAnswer.Accepted>(group.operate(group.leader(), command))
+        group.run(4_000)
+        val before = group.posted.single()
+        assertTrue(before.expiresAtWallTime - group.now - VirtualGroup.WALL_OFFSET <= 1_000)
+        val old = group.leader()
+        group.cut(old)
+        group.run(4_000)
+        assertEquals(1, group.posted.size, "an order within the pause of 3 s after the election")
+        group.run(6_000)
+        val after = group.posted.last()
+        assertTrue(after.fencing > before.fencing)
+        group.deliver(group.leader(), ControlEvent.OrderAnswered("engine1", after.fencing, OrderAnswer.Carried))
+        group.run(1_000)
+        assertEquals(
+            OrderStatus.DONE,
+            group
+                .state(group.leader())
+                .control.orders
+                .getValue("engine1")
+                .status,
+        )
+    }
+
+    @Test
+    fun `a first configuration of 12,000 organisations is accepted in parts`() {
+        val hash = "pbkdf2\$10000\$" + "A".repeat(22) + "==\$" + "A".repeat(43) + "="
+        val organisations =
+            List(12_000) { Organisation("organisation-%05d".format(it), "south", listOf("quick"), listOf(hash)) }
+        val large = first.copy(organisations = organisations)
+        assertEquals(
+            1,
+            assertIs<OperatorAnswer.Accepted>(group.operate(group.follower(), proposal(0, "a", large))).version,
+        )
+        group.run(1_000)
+        group.states().forEach { assertEquals(12_000, it.control.configuration.organisations.size) }
+    }
+
+    @Test
+    fun `drains and convictions stream to every entry`() {
+        propose(first)
+        val follower = group.follower()
+        group.entry(follower, 1, hello(1))
+        group.operate(group.leader(), OperatorCommand.Drain("engine1", true, "d"))
+        group.entry(follower, 1, EntryToControl.SuspectReport("digest", 2, convicted = true))
+        group.run(1_000)
+        assertEquals(
+            listOf("engine1"),
+            group
+                .sent(follower, 1)
+                .filterIsInstance<ControlToEntry.DrainUpdate>()
+                .last()
+                .upstreams,
+        )
+        val update = group.sent(follower, 1).filterIsInstance<ControlToEntry.ConvictionUpdate>().last()
+        assertEquals(listOf("digest"), update.convictions.map { it.contentDigest })
+        assertTrue(update.convictions.single().expiresIn <= 3_600_000)
+    }
+
+    @Test
+    fun `status shows which entry lags`() {
+        propose(first)
+        val leader = group.leader()
+        group.entry(leader, 1, hello(1))
+        group.operate(leader, proposal(1, "x", tier(first, 2)))
+        group.entry(leader, 1, EntryToControl.EntryStatus("entry-1", "a", 1, 0, 0, ready = true))
+        group.run(3_000)
+        val lines = assertIs<OperatorAnswer.Report>(group.operate(leader, OperatorCommand.Status)).lines
+        assertTrue(
+            lines.any {
+                it.contains("entry-1") && it.contains("BEHIND") && it.contains("version 1 of 2")
+            },
+            lines.joinToString("\n"),
+        )
+    }
+
+    private fun retried(follower: String): OperatorAnswer? {
+        group.run(3_000)
+        return group.operate(follower, proposal(1, "x", tier(first, 2)))
+    }
+
+    private fun propose(configuration: Configuration) {
+        val answer = group.operate(group.leader(), proposal(0, "initial", configuration))
+        assertEquals(1, assertIs<OperatorAnswer.Accepted>(answer).version)
+        group.run(1_000)
+    }
+
+    private fun proposal(
+        base: Long,
+        identifier: String,
+        configuration: Configuration,
+    ) = OperatorCommand.ProposeConfiguration(base, identifier, "reason", configuration)
+
+    private fun tier(
+        configuration: Configuration,
+        tier: Int,
+    ) = configuration.copy(classes = configuration.classes.map { if (it.name == "slow") it.copy(tier = tier) else it })
+
+    private fun hello(version: Long) = EntryToControl.EntryHello("ignored", "zone", version)
+
+    private fun claim(
+        name: String,
+        attempt: String,
+    ) = EntryToControl.ClaimRequest(key(name), "digest", attempt, "ignored")
+
+    private fun key(name: String) = ClaimKey("organisation", name)
+
+    private fun decision(
+        replica: String,
+        link: Long,
+        attempt: String,
+    ): ClaimDecision =
+        assertNotNull(
+            group.sent(replica, link).filterIsInstance<ControlToEntry.ClaimAnswer>().lastOrNull {
+                it.attemptIdentifier ==
+                    attempt
+            },
+        ).decision
+}
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -27,17 +27,20 @@
         val decision: ClaimDecision,
     ) : ControlToEntry
 
-    /** The outcome under [claimNumber] is committed. */
+    /** The outcome under [claimNumber] is committed, or never will be because the number is no longer the key's. */
     @Serializable
     data class OutcomeRecorded(
         val key: ClaimKey,
         val claimNumber: Long,
+        val accepted: Boolean = true,
     ) : ControlToEntry
 
+    /** The attempt is never granted anything again. [accepted] is false when it has an outcome, which stands. */
     @Serializable
     data class ClaimAbandoned(
         val key: ClaimKey,
         val attemptIdentifier: String,
+        val accepted: Boolean = true,
     ) : ControlToEntry
 
     /** All convictions in force; replaces what the entry had from control. */
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
@@ -42,9 +42,11 @@
         val configuration: Configuration,
     ) : OperatorCommand
 
+    /** [offsetMinutes] is the operator's distance from UTC, in which the sentence states times of day. */
     @Serializable
     data class PlanIntent(
         val sentence: String,
+        val offsetMinutes: Int = 0,
     ) : OperatorCommand
 
     @Serializable
