--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -30,6 +30,10 @@
         val message: WireMessage,
     ) : ControlEffect
 
+    data class CloseLink(
+        val link: Long,
+    ) : ControlEffect
+
     /** Post the order to the engine; it expires at [expiresAtWallTime]. */
     data class PostOrder(
         val upstream: String,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
@@ -68,6 +68,10 @@
         byNumber[number]?.send(message)
     }
 
+    fun closeLink(number: Long) {
+        byNumber[number]?.close()
+    }
+
     override fun close() {
         clients.forEach { it.close() }
         server?.close()
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -94,6 +94,7 @@
             is ControlEffect.Persist, is ControlEffect.EncodeSnapshot -> disk.submit(effect)
             is ControlEffect.SendToReplica -> links.sendToReplica(effect.replica, effect.envelope)
             is ControlEffect.SendToLink -> links.sendToLink(effect.link, effect.message)
+            is ControlEffect.CloseLink -> links.closeLink(effect.link)
             is ControlEffect.PostOrder -> orders.post(effect)
             is ControlEffect.MeasureCommand -> metrics.measure(effect)
             is ControlEffect.Record -> log.record(effect.event, effect.fields)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -107,6 +107,7 @@
     expireQuestions()
     if (now < state.dutiesAt) return
     state = state.copy(dutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
+    releaseEntries()
     reportLostEntries()
     measureLag()
     leaderDuties()
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -50,7 +50,8 @@
     hello: EntryToControl.EntryHello,
 ) {
     val isNew = event.link !in state.entryLinks
-    val session = EntryLink(event.entry, hello.availabilityZone, heldVersion = hello.appliedVersion)
+    val openedAt = state.entryLinks[event.link]?.openedAt ?: now
+    val session = EntryLink(event.entry, hello.availabilityZone, openedAt, heldVersion = hello.appliedVersion)
     state =
         state.copy(
             entryLinks = state.entryLinks.put(event.link, session),
@@ -121,6 +122,17 @@
         }
 }
 
+/** Entries that are linked to a replica without a leader could neither claim nor learn of changes; others may have one. */
+internal fun ControlStep.releaseEntries() {
+    val hasLeader = state.replica.leader != null || state.replica.group == null
+    val since = state.leaderlessSince ?: now
+    state = state.copy(leaderlessSince = if (hasLeader) null else since)
+    if (hasLeader || now - since < RELEASE_MILLISECONDS) return
+    state.entryLinks
+        .filterValues { now - it.openedAt >= RELEASE_MILLISECONDS }
+        .forEach { (link, _) -> emit(ControlEffect.CloseLink(link)) }
+}
+
 /** Notes which entries do not follow, so that status and logs can name them. */
 internal fun ControlStep.measureLag() {
     val version = state.control.version
@@ -144,6 +156,9 @@
 // Entries repeat these, so a short life here only bounds what waits.
 private const val REPEATED_COMMAND_MILLISECONDS = 5_000L
 
+// As long as a silent link lasts, and longer than an election takes when its first round succeeds.
+private const val RELEASE_MILLISECONDS = 4_000L
+
 // Longer than the 4 s after which a silent link closes plus a reconnection to another replica.
 private const val ENTRY_LOST_MILLISECONDS = 10_000L
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/OperatorSessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/OperatorSessions.kt
@@ -68,7 +68,7 @@
     val reason = (answer as? TicketAnswer.Refused)?.reason
     val problem = reason?.problem ?: "the read was not confirmed"
     val remedy = reason?.remedy ?: "retry in a few seconds"
-    answer(use.requester, OperatorAnswer.Refused(problem, remedy))
+    answer(use.requester, OperatorAnswer.Refused(problem, remedy, elsewhere = true))
 }
 
 internal fun ControlStep.answerRead(use: TicketUse.OperatorRead) {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -33,6 +33,7 @@
     val nextQuestion: Long = 1,
     val questions: PersistentMap<Long, Question> = persistentMapOf(),
     val leaderSince: Long? = null,
+    val leaderlessSince: Long? = null,
     val orderAttempts: PersistentMap<String, OrderAttempt> = persistentMapOf(),
     val dutiesAt: Long = 0,
     val stopping: Boolean = false,
@@ -104,6 +105,7 @@
 internal data class EntryLink(
     val entry: String,
     val availabilityZone: String,
+    val openedAt: Long,
     val heldVersion: Long,
     val confirmedVersion: Long = 0,
     val status: EntryToControl.EntryStatus? = null,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Proposals.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Proposals.kt
@@ -139,7 +139,7 @@
     when (val requester = pending.requester) {
         is Requester.Operator -> {
             val uncertain = OperatorAnswer.Uncertain("resend it under the same command identifier")
-            val refused = OperatorAnswer.Refused(reason.problem, reason.remedy)
+            val refused = OperatorAnswer.Refused(reason.problem, reason.remedy, elsewhere = reason in ELSEWHERE)
             answer(requester, if (pending.certain && pending.proposeAt != null) refused else uncertain)
         }
 
@@ -174,5 +174,6 @@
     }
 
 private val TRANSIENT_REFUSALS = setOf(ReplicaRefusal.NO_LEADER, ReplicaRefusal.NOT_LEADER, ReplicaRefusal.OVERLOADED)
+private val ELSEWHERE = TRANSIENT_REFUSALS + setOf(ReplicaRefusal.NOT_ADMITTED, ReplicaRefusal.STOPPING)
 private const val PROPOSAL_INTERVAL_MILLISECONDS = 300L
 private const val OWN_COMMAND_MILLISECONDS = 30_000L
--- a/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
@@ -70,6 +70,7 @@
         group.entry(isolated, 1, hello(0))
         group.entry(isolated, 1, claim("k", "attempt"))
         group.run(6_000)
+        assertContains(group.closed, 1, "an isolated replica keeps its entries")
         val sent = group.sent(isolated, 1)
         assertTrue(sent.none { it is ControlToEntry.ConfigurationUpdate })
         assertEquals(ClaimDecision.Unavailable, sent.filterIsInstance<ControlToEntry.ClaimAnswer>().single().decision)
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -24,6 +24,7 @@
     private val nodes = names.associateWith { Node(it) }
     private val cut = HashSet<String>()
     private val queue = ArrayDeque<Pair<String, ControlEvent>>()
+    val closed = ArrayList<Long>()
     val posted = ArrayList<ControlEffect.PostOrder>()
     var now = 1_000L
         private set
@@ -146,6 +147,7 @@
                 }
             is ControlEffect.SendToLink -> node.sent += effect.link to effect.message
             is ControlEffect.PostOrder -> posted += effect
+            is ControlEffect.CloseLink -> closed += effect.link
             is ControlEffect.MeasureCommand, is ControlEffect.Record -> Unit
         }
     }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
@@ -146,11 +146,12 @@
         val formed: Boolean,
     ) : OperatorAnswer
 
-    /** Nothing was changed. */
+    /** Nothing was changed. [elsewhere] says that another replica, or this one later, may take the command. */
     @Serializable
     data class Refused(
         val problem: String,
         val remedy: String,
+        val elsewhere: Boolean = false,
     ) : OperatorAnswer
 
     /** The command may or may not have been committed; resending it with its identifier gives the answer. */
