--- a/operator/src/main/kotlin/hawthorncrank/operator/internal/AnswerLines.kt
+++ b/operator/src/main/kotlin/hawthorncrank/operator/internal/AnswerLines.kt
@@ -3,12 +3,6 @@
 import hawthorncrank.protocol.OperatorAnswer
 import java.time.Instant
 
-/** What the command line prints for an answer, and whether the command succeeded. */
-internal class PrintedAnswer(
-    val lines: List<String>,
-    val succeeded: Boolean,
-)
-
 internal fun printed(answer: OperatorAnswer): PrintedAnswer =
     when (answer) {
         is OperatorAnswer.Accepted -> PrintedAnswer(acceptedLines(answer), succeeded = true)
--- a/operator/src/main/kotlin/hawthorncrank/operator/internal/ChangeCommands.kt
+++ b/operator/src/main/kotlin/hawthorncrank/operator/internal/ChangeCommands.kt
@@ -17,6 +17,7 @@
 import hawthorncrank.protocol.EngineOrder
 import hawthorncrank.protocol.OperatorCommand
 import java.io.IOException
+import java.nio.file.Path
 import java.time.OffsetDateTime
 import kotlin.io.path.readText
 
@@ -30,8 +31,11 @@
     }
 
     private fun words(): String {
-        val chosen = file ?: return sentence ?: throw UsageError("write a sentence or --file")
-        if (sentence != null) throw UsageError("write a sentence or --file, not both")
+        if ((file == null) == (sentence == null)) throw UsageError("write either a sentence or --file")
+        return sentence ?: file?.let(::wordsOf).orEmpty()
+    }
+
+    private fun wordsOf(chosen: Path): String {
         val text =
             try {
                 chosen.readText()
