--- a/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
@@ -42,9 +42,11 @@
         val configuration: Configuration,
     ) : OperatorCommand
 
+    /** [offsetMinutes] is the operator's distance from UTC, in which the sentence states times of day. */
     @Serializable
     data class PlanIntent(
         val sentence: String,
+        val offsetMinutes: Int = 0,
     ) : OperatorCommand
 
     @Serializable
@@ -144,11 +146,12 @@
         val formed: Boolean,
     ) : OperatorAnswer
 
-    /** Nothing was changed. */
+    /** Nothing was changed. [elsewhere] says that another replica, or this one later, may take the command. */
     @Serializable
     data class Refused(
         val problem: String,
         val remedy: String,
+        val elsewhere: Boolean = false,
     ) : OperatorAnswer
 
     /** The command may or may not have been committed; resending it with its identifier gives the answer. */
