Add the policy bench and tune the scheduler with it

hawthorncrank-bench policy drives the scheduler and the router of three entries over six simulated engines in virtual time, next to baselines, each mechanism switched off, and a planner that knows the output lengths.

--- /dev/null
+++ b/bench/src/main/kotlin/hawthorncrank/bench/Main.kt
@@ -0,0 +1,8 @@
+package hawthorncrank.bench
+
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import hawthorncrank.bench.internal.BenchCommand
+import hawthorncrank.bench.internal.PolicyCommand
+
+fun main(arguments: Array<String>) = BenchCommand().subcommands(PolicyCommand()).main(arguments)
--- /dev/null
+++ b/bench/src/main/kotlin/hawthorncrank/bench/internal/VirtualTime.kt
@@ -0,0 +1,34 @@
+package hawthorncrank.bench.internal
+
+import java.util.PriorityQueue
+
+/** A queue of actions in virtual time. Actions of one moment run in the order in which they were scheduled. */
+internal class VirtualTime {
+    private val actions = PriorityQueue<Scheduled>(compareBy({ it.at }, { it.order }))
+    private var order = 0L
+    var now = 0L
+        private set
+
+    fun at(
+        time: Long,
+        action: () -> Unit,
+    ) {
+        actions += Scheduled(maxOf(time, now), order++, action)
+    }
+
+    fun runUntil(end: Long) {
+        while (true) {
+            val next = actions.peek() ?: return
+            if (next.at > end) return
+            actions.poll()
+            now = next.at
+            next.action()
+        }
+    }
+
+    private class Scheduled(
+        val at: Long,
+        val order: Long,
+        val action: () -> Unit,
+    )
+}
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
@@ -8,7 +8,8 @@
 
 /**
  * One choice of an upstream. Distances are tried in turn: zone, region, and another region if the target would
- * otherwise be missed. Within a distance, an upstream with free room is looked for first, among two random ones and
+ * otherwise be missed. Within a distance, slow engines come last: work that could run elsewhere would miss its targets
+ * there. Among the others, an upstream with free room is looked for first, among two random ones and
  * those that hold the prompt's prefix, then among all. Only then does rule R2 let the request in above lower tiers, on
  * the upstream whose preemptable work is of the lowest tier.
  */
@@ -30,16 +31,20 @@
         val candidates = state.candidates[work.target] ?: return RoutingAnswer.NoUpstream
         if (question.constraint.isolated) return isolated(candidates)
         for (distance in Distance.entries) {
-            val names = candidates.at(distance)
-            if (names.isEmpty()) continue
             if (distance == Distance.ELSEWHERE && !mayLeaveRegion(candidates)) continue
-            val chosen = withFreeRoom(names) ?: aboveLowerTiers(names) ?: continue
+            val (normal, slow) = candidates.at(distance).partition { state.factor(upstream(it)) >= 1.0 }
+            val chosen = among(normal) ?: among(slow) ?: continue
             return chosen
         }
         val excludedAll = candidates.all.all { it in question.constraint.excluded }
         return if (excludedAll) RoutingAnswer.ConstraintUnmet else RoutingAnswer.NoRoom
     }
 
+    private fun among(names: List<String>): RoutingAnswer? {
+        if (names.isEmpty()) return null
+        return withFreeRoom(names) ?: aboveLowerTiers(names)
+    }
+
     /** The engine with no other suspect and the least other work; tier 1 elsewhere breaks ties. */
     private fun isolated(candidates: Candidates): RoutingAnswer {
         val chosen =
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/SchedulingPolicy.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/SchedulingPolicy.kt
@@ -13,8 +13,11 @@
     val shedLowestTier: Boolean = true,
     /** Rule R4. */
     val preemption: Boolean = true,
+    /** Rule R4 takes only attempts that have produced at most this many tokens: the rest is left to the engine. */
+    val preemptableTokens: Int = 0,
     /** Rule R5. */
     val floor: Boolean = true,
     /** Rule R6. */
     val refuseUseless: Boolean = true,
+    val cautiousQuantile: Double = 0.98,
 )
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Accounting.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Accounting.kt
@@ -56,7 +56,8 @@
         copy(inFlight = inFlight.put(requestNumber, after), speeds = speeds.observe(before, tokens, now))
             .charge(before.work, beyondCharge)
             .spend(before.work, produced, now)
-    return if (after.answerStarted) next.removeVictim(after) else next
+    val tooMuchToLose = after.tokens > policy.preemptableTokens
+    return if (after.answerStarted || tooMuchToLose) next.removeVictim(after) else next
 }
 
 /** Takes the request out of flight and settles its charge at [served] tokens. */
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/SchedulerState.kt
@@ -57,9 +57,18 @@
     fun latestStart(work: QueuedWork): Long? {
         val finishBy = work.finishBy ?: return null
         if (!policy.refuseUseless) return null
-        val shortest = estimates.quantile(member(work), FASTEST_QUANTILE) ?: return finishBy
-        val tokens = minOf(shortest, work.maximumTokens ?: shortest)
-        return finishBy - (tokens * speeds.fastestInterval(work.target)).toLong()
+        val fastest = duration(work, FASTEST_QUANTILE) ?: return finishBy
+        val cautious = duration(work, policy.cautiousQuantile) ?: return finishBy
+        val middle = work.arrival + (finishBy - work.arrival) / 2
+        return minOf(finishBy - fastest, maxOf(finishBy - cautious, middle))
+    }
+
+    private fun duration(
+        work: QueuedWork,
+        quantile: Double,
+    ): Long? {
+        val estimated = estimates.quantile(member(work), quantile) ?: return null
+        return (minOf(estimated, work.maximumTokens ?: estimated) * speeds.fastestInterval(work.target)).toLong()
     }
 
     fun enqueue(work: QueuedWork): SchedulerState {
