--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Admission.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Admission.kt
@@ -65,9 +65,10 @@
 )
 
 /**
- * Sheds what rule R3 allows until the request fits, or returns null. A class that is at its own bound takes places from
- * lower tiers queued for the same target, so it may exceed that bound by the places taken; the total never grows. When
- * nothing lower can give way, organisations with more than their share of the class's queue give way to others.
+ * Sheds what rule R3 allows until the request fits, or returns null. A class that is at its own bound takes a place from
+ * a lower tier queued for the same target, so it may exceed that bound by the places taken; the bounds of the entry, the
+ * sums over all classes, hold throughout. When nothing lower can give way, organisations with more than their share of
+ * the class's queue give way to others. A request that would not fit even after that sheds nothing.
  */
 private fun SchedulerState.makeRoom(
     work: QueuedWork,
@@ -75,13 +76,15 @@
 ): Room? {
     var state = this
     val shed = mutableListOf<Shed>()
-    var places = 0
-    var bytes = 0L
+    var placeTaken = false
     while (true) {
         val own = state.classState(work.className)
         val classFull =
-            own.requests + 1 - places > own.settings.queueRequests ||
-                own.bytes + work.bodyBytes - bytes > own.settings.queueSize.bytes
+            !placeTaken &&
+                (
+                    own.requests + 1 > own.settings.queueRequests ||
+                        own.bytes + work.bodyBytes > own.settings.queueSize.bytes
+                )
         val totalFull = state.totalFull(work)
         if (!classFull && !totalFull) return Room(state, shed)
         if (!classFull && own.requests < own.settings.floorSlots) return Room(state, shed)
@@ -89,10 +92,7 @@
             state.lowerTierVictim(work, sameTarget = classFull)
                 ?: state.largestQueueVictim(work)
                 ?: return null
-        if (victim.className != work.className) {
-            places++
-            bytes += victim.bodyBytes
-        }
+        if (victim.className != work.className) placeTaken = true
         val retryAfter = state.retryAfter(victim, now)
         state = state.refuse(victim, now)
         shed += Shed(victim, RefusalReason.QueueFull, retryAfter)
