--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
@@ -7,7 +7,13 @@
 
 /** What the entry process must do after a reduction, in order. */
 sealed interface EntryEffect {
-    /** Send the request of [requestNumber] to [upstream]. Only this attempt's bytes may reach the caller from now on. */
+    /**
+     * Send the request of [requestNumber] to [upstream]. Only this attempt's bytes may reach the caller from now on. If
+     * bytes of another attempt have reached it already and [resume] is absent, nothing is sent and the attempt ends as
+     * [AttemptEnd.Cancelled]; a [BreakStream] follows. With a [claimNumber] the answer is held back until
+     * [ReleaseAnswer]. With [freshConnection] the request goes out only on a connection that is new or was used in the
+     * last 2 s.
+     */
     data class StartAttempt(
         val attemptNumber: Long,
         val requestNumber: Long,
@@ -18,6 +24,7 @@
         val deadlineMilliseconds: Long?,
         val claimNumber: Long?,
         val resume: ResumePoint?,
+        val freshConnection: Boolean = false,
     ) : EntryEffect
 
     /** Stop the attempt upstream and discard whatever it still sends. */
@@ -46,7 +53,10 @@
         val body: ByteArray?,
     ) : EntryEffect
 
-    /** The stream already has bytes at the caller and cannot go on: end it with an explicit error event. */
+    /**
+     * The stream already has bytes at the caller and cannot go on: end it with an explicit error event. It has no
+     * effect on an answer that is whole by now.
+     */
     data class BreakStream(
         val requestNumber: Long,
         val reason: String,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryReducer.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryReducer.kt
@@ -2,16 +2,28 @@
 
 import hawthorncrank.common.Reducer
 import hawthorncrank.common.Transition
+import hawthorncrank.entry.core.internal.EntryRules
 import hawthorncrank.entry.core.internal.Reduction
+import hawthorncrank.entry.core.internal.ZoneState
 import hawthorncrank.entry.core.internal.dispatch
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.routing.RouterLocation
+import hawthorncrank.routing.router
+import hawthorncrank.scheduling.scheduler
 
 /**
  * Creates the decision core of an entry. The process feeds it every event in arrival order and carries out the effects
  * of each transition in their order.
  */
 fun entryReducer(settings: EntrySettings): Reducer<EntryState, EntryEvent, EntryEffect> =
+    entryReducer(settings, EntryRules())
+
+internal fun entryReducer(
+    settings: EntrySettings,
+    rules: EntryRules,
+): Reducer<EntryState, EntryEvent, EntryEffect> =
     Reducer { state, event, now ->
-        val reduction = Reduction(state, now, settings)
+        val reduction = Reduction(state, now, settings, rules)
         reduction.dispatch(event)
         Transition(reduction.state, reduction.effects())
     }
@@ -19,5 +31,12 @@
 /** The state of an entry that has just started: no configuration, no requests, not ready. */
 fun initialEntryState(settings: EntrySettings): EntryState {
     require(settings.name in settings.zoneEntries) { "zoneEntries must include this entry's own name" }
-    return EntryState()
+    val nothing = Configuration()
+    val location = RouterLocation(settings.availabilityZone, settings.region)
+    val entries = settings.zoneEntries.size
+    return EntryState(
+        scheduler = scheduler(nothing),
+        router = router(nothing, location, entries, settings.randomSeed),
+        zone = ZoneState(live = entries),
+    )
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -1,9 +1,18 @@
 package hawthorncrank.entry.core
 
 import hawthorncrank.entry.core.internal.AttemptsState
+import hawthorncrank.entry.core.internal.ClaimsState
 import hawthorncrank.entry.core.internal.ConfigurationState
+import hawthorncrank.entry.core.internal.ControlLink
+import hawthorncrank.entry.core.internal.Explanations
 import hawthorncrank.entry.core.internal.MembershipState
 import hawthorncrank.entry.core.internal.RequestsState
+import hawthorncrank.entry.core.internal.RetryBudget
+import hawthorncrank.entry.core.internal.StopState
+import hawthorncrank.entry.core.internal.SuspectsState
+import hawthorncrank.entry.core.internal.ZoneState
+import hawthorncrank.routing.Router
+import hawthorncrank.scheduling.Scheduler
 
 /**
  * Everything that an entry decides from. It is immutable and opaque to the process, which only hands it back to the
@@ -11,10 +20,26 @@
  */
 @ConsistentCopyVisibility
 data class EntryState internal constructor(
+    internal val scheduler: Scheduler,
+    internal val router: Router,
+    internal val zone: ZoneState,
     internal val requests: RequestsState = RequestsState(),
     internal val attempts: AttemptsState = AttemptsState(),
+    internal val claims: ClaimsState = ClaimsState(),
+    internal val budget: RetryBudget = RetryBudget(),
+    internal val suspects: SuspectsState = SuspectsState(),
     internal val configuration: ConfigurationState = ConfigurationState(),
     internal val membership: MembershipState = MembershipState(),
-    internal val stopping: Boolean = false,
-    internal val terminated: Boolean = false,
-)
+    internal val controlLink: ControlLink = ControlLink(),
+    internal val explanations: Explanations = Explanations(),
+    internal val stop: StopState = StopState(),
+    internal val statusSentAt: Long = 0,
+    internal val queuesMeasuredAt: Long = 0,
+) {
+    /** Requests without a final answer, for the process's own status page. */
+    val requestsHeld: Int
+        get() = requests.active.size
+
+    val ready: Boolean
+        get() = configuration.inForce && !stop.requested
+}
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
@@ -9,11 +9,21 @@
     val retryAfterMilliseconds: Long?
         get() = null
 
+    /** The same refusal of a request of which an earlier attempt may have run at an upstream. */
+    fun afterAttempt(): Refusal =
+        when (this) {
+            is Overloaded -> copy(outcome = StatedOutcome.UNKNOWN)
+            is TooLate -> copy(outcome = StatedOutcome.UNKNOWN)
+            is NoUpstream -> copy(outcome = StatedOutcome.UNKNOWN)
+            is Convicted -> copy(outcome = StatedOutcome.UNKNOWN)
+            else -> if (outcome == StatedOutcome.NOT_RUN) Interrupted else this
+        }
+
     data class Overloaded(
         override val retryAfterMilliseconds: Long,
+        override val outcome: StatedOutcome = StatedOutcome.NOT_RUN,
     ) : Refusal {
         override val status = 503
-        override val outcome = StatedOutcome.NOT_RUN
         override val problem = "the class has more work than capacity"
         override val remedy = "send the request again after the time in Retry-After"
     }
@@ -31,18 +41,18 @@
 
     data class TooLate(
         override val retryAfterMilliseconds: Long,
+        override val outcome: StatedOutcome = StatedOutcome.NOT_RUN,
     ) : Refusal {
         override val status = 503
-        override val outcome = StatedOutcome.NOT_RUN
         override val problem = "the answer could not be finished before the deadline"
         override val remedy = "send the request again after the time in Retry-After or with a later deadline"
     }
 
     data class NoUpstream(
         val target: String,
+        override val outcome: StatedOutcome = StatedOutcome.NOT_RUN,
     ) : Refusal {
         override val status = 503
-        override val outcome = StatedOutcome.NOT_RUN
         override val retryAfterMilliseconds = 2_000L
         override val problem = "no upstream for $target can be reached"
         override val remedy = "send the request again; operators see the upstreams in the status report"
@@ -59,13 +69,20 @@
 
     data class Convicted(
         val contentDigest: String,
+        override val outcome: StatedOutcome = StatedOutcome.NOT_RUN,
     ) : Refusal {
         override val status = 422
-        override val outcome = StatedOutcome.NOT_RUN
         override val problem = "requests with this content ($contentDigest) crashed engines and are refused"
         override val remedy = "change the request, or ask the operator to lift the conviction"
     }
 
+    data object KeyMissing : Refusal {
+        override val status = 400
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "a non-idempotent call needs the header Idempotency-Key"
+        override val remedy = "send the request with an Idempotency-Key that is unique to the call"
+    }
+
     data object ControlUnavailable : Refusal {
         override val status = 503
         override val outcome = StatedOutcome.NOT_RUN
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -0,0 +1,122 @@
+package hawthorncrank.entry.core.internal
+
+import hawthorncrank.entry.core.AttemptEnd
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.ResumePoint
+import hawthorncrank.entry.core.SilenceTimeouts
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.routing.RoutedAttempt
+import hawthorncrank.scheduling.CapacityKind
+
+/** Sends a placed request to its upstream under a new attempt number. */
+internal fun Reduction.startAttempt(
+    active: ActiveRequest,
+    upstream: Upstream,
+    priority: Int,
+) = start(active, upstream, priority, resume = null)
+
+/** Continues a broken stream. The scheduler still counts the request as running; only the router forgot it. */
+internal fun Reduction.resumeAttempt(
+    active: ActiveRequest,
+    upstream: Upstream,
+    resume: ResumePoint,
+) {
+    val work = workOf(active)
+    val routed = RoutedAttempt(active.number, upstream.name, work, work.tier, CapacityKind.SHARED)
+    state = state.copy(router = state.router.attemptStarted(routed, now))
+    start(active, upstream, work.tier, resume)
+}
+
+private fun Reduction.start(
+    active: ActiveRequest,
+    upstream: Upstream,
+    priority: Int,
+    resume: ResumePoint?,
+) {
+    val request = active.request
+    val number = state.attempts.nextNumber
+    val attempt =
+        RunningAttempt(
+            number = number,
+            requestNumber = request.number,
+            className = request.className,
+            contentDigest = request.contentDigest,
+            upstream = upstream.name,
+            startedAt = now,
+            // A resumed stream is the same run; that it breaks again is no second piece of evidence.
+            suspect = resume == null && state.suspects.isSuspect(request.contentDigest, now),
+        )
+    state = state.copy(attempts = AttemptsState(state.attempts.running.put(number, attempt), number + 1))
+    val started =
+        active.copy(
+            phase = RequestPhase.Running(number),
+            attempts = active.attempts + 1,
+            startedAt = active.startedAt ?: now,
+        )
+    update(started)
+    explain(request.number, "was sent to ${upstream.name} as attempt $number with priority $priority")
+    emit(
+        EntryEffect.StartAttempt(
+            attemptNumber = number,
+            requestNumber = request.number,
+            upstream = upstream.name,
+            address = upstream.address,
+            priority = priority,
+            timeouts = silenceTimeouts(trafficClass(request)),
+            deadlineMilliseconds = request.finishBy?.let { it - now },
+            claimNumber = active.grantedClaim?.claimNumber,
+            resume = resume,
+            freshConnection = active.grantedClaim != null,
+        ),
+    )
+}
+
+private fun silenceTimeouts(trafficClass: TrafficClass?): SilenceTimeouts {
+    val target = trafficClass?.firstToken?.value ?: 0
+    return SilenceTimeouts(
+        connect = CONNECT_MILLISECONDS,
+        firstByte = maxOf(target * TARGETS_OF_SILENCE, FIRST_BYTE_MILLISECONDS),
+        betweenBytes = BETWEEN_BYTES_MILLISECONDS,
+    )
+}
+
+/** Takes the attempt off its upstream's load. A cancelled attempt was taken off when it was cancelled. */
+internal fun Reduction.attemptReleased(
+    attempt: RunningAttempt,
+    end: AttemptEnd,
+) {
+    if (attempt.cancelled != null) return
+    val bytes = (end as? AttemptEnd.Completed)?.bytes ?: attempt.bytes
+    state = state.copy(router = state.router.attemptEnded(attempt.requestNumber, bytes))
+}
+
+internal fun Reduction.noteProgress(
+    attempt: RunningAttempt,
+    active: ActiveRequest,
+) {
+    state =
+        state.copy(
+            scheduler = state.scheduler.progress(active.number, attempt.tokens, active.answerBegan, now),
+            router = state.router.attemptProgress(active.number, attempt.tokens, now),
+        )
+}
+
+/** The upstream is done with the request; its answer may still be on the way to the caller. */
+internal fun Reduction.leaveUpstream(
+    active: ActiveRequest,
+    tokens: Int,
+    whole: Boolean,
+) {
+    state = state.copy(scheduler = state.scheduler.finished(active.number, tokens, whole, now))
+}
+
+/** Takes a request that ends out of the scheduler, wherever it is. */
+internal fun Reduction.unschedule(active: ActiveRequest) {
+    state = state.copy(scheduler = state.scheduler.remove(active.number))
+}
+
+private const val CONNECT_MILLISECONDS = 1_000L
+private const val FIRST_BYTE_MILLISECONDS = 10_000L
+private const val BETWEEN_BYTES_MILLISECONDS = 10_000L
+private const val TARGETS_OF_SILENCE = 4
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
@@ -0,0 +1,42 @@
+package hawthorncrank.entry.core.internal
+
+import hawthorncrank.entry.core.CancelReason
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** The attempts whose end the traffic threads have not reported. Their numbers rise and are never used again. */
+internal data class AttemptsState(
+    val running: PersistentMap<Long, RunningAttempt> = persistentMapOf(),
+    val nextNumber: Long = 1,
+) {
+    fun on(upstream: String): List<RunningAttempt> = running.values.filter { it.upstream == upstream }
+}
+
+/**
+ * [suspect] says that its content was under suspicion when it started, so that it runs beside no other suspect. A
+ * [cancelled] attempt keeps its place on the upstream until its end is reported.
+ */
+internal data class RunningAttempt(
+    val number: Long,
+    val requestNumber: Long,
+    val className: String,
+    val contentDigest: String,
+    val upstream: String,
+    val startedAt: Long,
+    val suspect: Boolean = false,
+    val firstByteAt: Long? = null,
+    val tokens: Int = 0,
+    val bytes: Long = 0,
+    val cancelled: Cancellation? = null,
+)
+
+/** A content and the upstream that it runs on or is about to run on. */
+internal data class PlacedContent(
+    val contentDigest: String,
+    val upstream: String,
+)
+
+internal data class Cancellation(
+    val reason: CancelReason,
+    val at: Long,
+)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -1,26 +1,106 @@
 package hawthorncrank.entry.core.internal
 
+import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.core.Measurement
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.ZoneMessage
 
-/** Hands an event to the feature that decides on it. */
+/** Hands an event to the feature that decides on it, and then starts whatever can start. */
 internal fun Reduction.dispatch(event: EntryEvent) {
     when (event) {
         is EntryEvent.RequestArrived -> requestArrived(event.request)
         is EntryEvent.CallerLeft -> callerLeft(event.requestNumber)
         is EntryEvent.AnswerDelivered -> answerDelivered(event.requestNumber)
         is EntryEvent.AttemptFirstByte -> attemptFirstByte(event.attemptNumber)
+        is EntryEvent.AttemptProgress -> attemptProgress(event.attemptNumber, event.tokens, event.bytes)
         is EntryEvent.AttemptEnded -> attemptEnded(event.attemptNumber, event.end)
+        is EntryEvent.LoadReported -> loadReported(event.upstream, event.report)
+        is EntryEvent.CacheChanged -> cacheChanged(event.upstream, event.change)
         is EntryEvent.MembershipReported -> membershipReported(event.live, event.leaving)
+        is EntryEvent.ProbeAnswered -> probeAnswered(event.upstream, event.reachable)
         is EntryEvent.ControlMessageReceived -> controlMessageReceived(event.message)
+        is EntryEvent.ZoneMessageReceived -> zoneMessageReceived(event.message)
+        EntryEvent.ControlLinkOpened -> controlLinkOpened()
+        EntryEvent.ControlLinkClosed -> state = state.copy(controlLink = state.controlLink.copy(open = false))
         EntryEvent.StopRequested -> stopRequested()
-        else -> Unit
+        EntryEvent.Tick -> tick()
     }
+    updateEligibility()
+    if (event !is EntryEvent.AttemptProgress && event !is EntryEvent.AttemptFirstByte) startWaiting()
     terminateWhenEmpty()
 }
 
 private fun Reduction.controlMessageReceived(message: ControlToEntry) {
-    if (message is ControlToEntry.ConfigurationUpdate && message.confirmed) {
-        applyConfiguration(message.version, message.configuration)
+    when (message) {
+        is ControlToEntry.ConfigurationUpdate -> stage(message.version, message.configuration, message.confirmed)
+        is ControlToEntry.ClaimAnswer -> claimAnswered(message)
+        is ControlToEntry.OutcomeRecorded -> outcomeRecorded(message.claimNumber)
+        is ControlToEntry.ClaimAbandoned -> claimAbandoned(message.attemptIdentifier)
+        is ControlToEntry.ConvictionUpdate -> convictionsUpdated(message)
+        is ControlToEntry.DrainUpdate -> drainsUpdated(message)
+        is ControlToEntry.ExplainQuestion -> explainAsked(message)
     }
 }
+
+private fun Reduction.zoneMessageReceived(message: ZoneMessage) {
+    neighbourHeard(message)
+    when (message) {
+        is ZoneMessage.StagedNotice -> stagedNoticeReceived(message)
+        is ZoneMessage.ConfigurationQuestion -> configurationAsked(message)
+        is ZoneMessage.ConfigurationAnswer -> configurationAnswered(message)
+        is ZoneMessage.SuspectNotice -> suspectNoticed(message)
+        is ZoneMessage.LeavingNotice -> leavingNoticed(message)
+    }
+}
+
+private fun Reduction.controlLinkOpened() {
+    state = state.copy(controlLink = ControlLink(open = true, number = state.controlLink.number + 1))
+    val version = state.configuration.version
+    emit(EntryEffect.SendToControl(EntryToControl.EntryHello(settings.name, settings.availabilityZone, version)))
+    resendClaims()
+    reportConvictionsAgain()
+}
+
+private fun Reduction.tick() {
+    zoneTick()
+    configurationTick()
+    claimsTick()
+    attemptsTick()
+    requestsTick()
+    membershipTick()
+    suspectsTick()
+    sendStatus()
+    measureQueues()
+}
+
+private fun Reduction.sendStatus() {
+    if (!state.controlLink.open || now - state.statusSentAt < STATUS_MILLISECONDS) return
+    state = state.copy(statusSentAt = now)
+    val status =
+        EntryToControl.EntryStatus(
+            entry = settings.name,
+            availabilityZone = settings.availabilityZone,
+            appliedVersion = state.configuration.version,
+            queued =
+                state.requests.active.values
+                    .count { it.waiting },
+            inFlight = state.attempts.running.size,
+            ready = state.ready,
+        )
+    emit(EntryEffect.SendToControl(status))
+}
+
+private fun Reduction.measureQueues() {
+    if (now - state.queuesMeasuredAt < QUEUES_MILLISECONDS) return
+    state = state.copy(queuesMeasuredAt = now)
+    state.configuration.configuration.classes.forEach { trafficClass ->
+        val length = state.scheduler.view.queuedOf(trafficClass.name)
+        val measurement = Measurement.QueueLength(trafficClass.name, length.requests, length.bytes)
+        emit(EntryEffect.Measure(measurement))
+    }
+}
+
+private const val STATUS_MILLISECONDS = 2_000L
+private const val QUEUES_MILLISECONDS = 1_000L
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -0,0 +1,166 @@
+package hawthorncrank.entry.core.internal
+
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.ZoneMessage
+import kotlinx.collections.immutable.toPersistentSet
+
+/**
+ * Which upstreams get new work: those that are configured, listed by the platform, not marked as leaving or drained by
+ * anyone, and not excluded by this entry's own observation.
+ */
+internal fun Reduction.mayGetWork(upstream: Upstream): Boolean =
+    !isLeaving(upstream) &&
+        state.membership.live?.contains(upstream.name) != false &&
+        state.membership.observed[upstream.name]
+            ?.excluded == null
+
+internal fun Reduction.isLeaving(upstream: Upstream): Boolean {
+    val membership = state.membership
+    val name = upstream.name
+    val marked =
+        upstream.leaving || name in membership.leaving || name in membership.drained ||
+            name in membership.noticedLeaving
+    return marked && rules.leavingUpstreamsGetNothing
+}
+
+internal fun Reduction.upstream(name: String): Upstream? =
+    state.configuration.configuration.upstreams
+        .firstOrNull { it.name == name }
+
+internal fun Reduction.membershipReported(
+    live: Set<String>,
+    leaving: Set<String>,
+) {
+    val added = leaving - state.membership.leaving
+    membership { it.copy(live = live.toPersistentSet(), leaving = leaving.toPersistentSet()) }
+    added.filter { upstream(it) != null }.forEach { announceLeaving(it, source = "the platform's list") }
+}
+
+private fun Reduction.announceLeaving(
+    name: String,
+    source: String,
+) {
+    record(EntryDecisionEvent.UPSTREAM_LEAVING, "upstream" to name, "source" to source)
+    emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, name)))
+}
+
+internal fun Reduction.leavingNoticed(notice: ZoneMessage.LeavingNotice) {
+    if (notice.entry == settings.name || upstream(notice.upstream) == null) return
+    val known = notice.upstream in state.membership.noticedLeaving
+    membership {
+        it.copy(noticedLeaving = it.noticedLeaving.put(notice.upstream, now + NOTICE_KEPT_MILLISECONDS))
+    }
+    if (!known) {
+        record(EntryDecisionEvent.UPSTREAM_LEAVING, "upstream" to notice.upstream, "source" to notice.entry)
+    }
+}
+
+internal fun Reduction.drainsUpdated(update: ControlToEntry.DrainUpdate) {
+    if (update.revision < state.membership.drainRevision) return
+    (update.upstreams - state.membership.drained).forEach {
+        record(EntryDecisionEvent.UPSTREAM_LEAVING, "upstream" to it, "source" to "a drain order")
+    }
+    membership { it.copy(drained = update.upstreams.toPersistentSet(), drainRevision = update.revision) }
+}
+
+internal fun Reduction.connectFailed(name: String) {
+    val observation = state.membership.observed[name] ?: Observation()
+    val failures = observation.connectFailures + 1
+    observe(name, observation.copy(connectFailures = failures))
+    if (failures >= CONNECT_FAILURES_TO_EXCLUDE) exclude(name, "$failures consecutive connect failures")
+}
+
+internal fun Reduction.upstreamAnswered(name: String) {
+    val observation = state.membership.observed[name] ?: return
+    if (observation.excluded == null) membership { it.copy(observed = it.observed.remove(name)) }
+}
+
+internal fun Reduction.exclude(
+    name: String,
+    reason: String,
+) {
+    val observation = state.membership.observed[name] ?: Observation()
+    if (observation.excluded != null) return
+    val exclusion = Exclusion(reason, FIRST_PROBE_MILLISECONDS, now + FIRST_PROBE_MILLISECONDS)
+    observe(name, observation.copy(excluded = exclusion))
+    record(EntryDecisionEvent.UPSTREAM_EXCLUDED, "upstream" to name, "reason" to reason)
+}
+
+internal fun Reduction.probeAnswered(
+    name: String,
+    reachable: Boolean,
+) {
+    val observation = state.membership.observed[name] ?: return
+    val exclusion = observation.excluded ?: return
+    if (reachable) {
+        membership { it.copy(observed = it.observed.remove(name)) }
+        return record(EntryDecisionEvent.UPSTREAM_RETURNED, "upstream" to name)
+    }
+    val backoff = minOf(exclusion.backoff * 2, LONGEST_BACKOFF_MILLISECONDS)
+    val next = exclusion.copy(backoff = backoff, nextProbeAt = now + backoff, probing = false)
+    observe(name, observation.copy(excluded = next))
+}
+
+internal fun Reduction.membershipTick() {
+    val membership = state.membership
+    val expired = membership.noticedLeaving.filterValues { it <= now }.keys
+    if (expired.isNotEmpty()) {
+        membership { it.copy(noticedLeaving = expired.fold(it.noticedLeaving) { map, key -> map.remove(key) }) }
+    }
+    if (membership.leaving.isNotEmpty() && now - membership.noticesSentAt >= NOTICE_REPEAT_MILLISECONDS) {
+        membership { it.copy(noticesSentAt = now) }
+        membership.leaving.filter { upstream(it) != null }.forEach {
+            emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, it)))
+        }
+    }
+    membership.observed.forEach { (name, observation) -> observation.excluded?.let { probe(name, observation, it) } }
+}
+
+private fun Reduction.probe(
+    name: String,
+    observation: Observation,
+    exclusion: Exclusion,
+) {
+    if (now < exclusion.nextProbeAt) return
+    val upstream = upstream(name) ?: return
+    if (exclusion.probing) return probeAnswered(name, reachable = false)
+    val probing = exclusion.copy(probing = true, nextProbeAt = now + PROBE_WAIT_MILLISECONDS)
+    observe(name, observation.copy(excluded = probing))
+    emit(EntryEffect.ProbeUpstream(name, upstream.address))
+}
+
+/** Forgets upstreams that are no longer configured. */
+internal fun Reduction.pruneMembership() {
+    val names =
+        state.configuration.configuration.upstreams
+            .map { it.name }
+            .toSet()
+    membership {
+        it.copy(
+            observed = (it.observed.keys - names).fold(it.observed) { map, key -> map.remove(key) },
+            noticedLeaving = (it.noticedLeaving.keys - names).fold(it.noticedLeaving) { map, key -> map.remove(key) },
+        )
+    }
+}
+
+private fun Reduction.observe(
+    name: String,
+    observation: Observation,
+) = membership { it.copy(observed = it.observed.put(name, observation)) }
+
+private fun Reduction.membership(change: (MembershipState) -> MembershipState) {
+    state = state.copy(membership = change(state.membership))
+}
+
+private const val CONNECT_FAILURES_TO_EXCLUDE = 3
+private const val FIRST_PROBE_MILLISECONDS = 1_000L
+private const val LONGEST_BACKOFF_MILLISECONDS = 30_000L
+
+// A probe that is not answered within this time counts as failed; it exceeds the connect timeout of 1 s.
+private const val PROBE_WAIT_MILLISECONDS = 2_000L
+
+// The platform's list reaches an entry every second and lags by some more. Senders repeat a notice while it holds.
+private const val NOTICE_KEPT_MILLISECONDS = 30_000L
+private const val NOTICE_REPEAT_MILLISECONDS = 5_000L
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
@@ -0,0 +1,34 @@
+package hawthorncrank.entry.core.internal
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+
+/**
+ * Which upstreams may get work. [live] is null until the platform's list arrives; until then the list excludes nothing.
+ * [noticedLeaving] holds when each notice of a neighbour expires, because nobody withdraws notices.
+ */
+internal data class MembershipState(
+    val live: PersistentSet<String>? = null,
+    val leaving: PersistentSet<String> = persistentSetOf(),
+    val drained: PersistentSet<String> = persistentSetOf(),
+    val drainRevision: Long = -1,
+    val noticedLeaving: PersistentMap<String, Long> = persistentMapOf(),
+    val noticesSentAt: Long = 0,
+    val observed: PersistentMap<String, Observation> = persistentMapOf(),
+)
+
+/** What this entry saw of an upstream. [excluded] is set while it gets no work and is probed instead. */
+internal data class Observation(
+    val connectFailures: Int = 0,
+    val excluded: Exclusion? = null,
+)
+
+/** [backoff] is the pause before the probe at [nextProbeAt]; [probing] is set while a probe is under way. */
+internal data class Exclusion(
+    val reason: String,
+    val backoff: Long,
+    val nextProbeAt: Long,
+    val probing: Boolean = false,
+)
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Outcomes.kt
@@ -0,0 +1,102 @@
+package hawthorncrank.entry.core.internal
+
+import hawthorncrank.entry.core.AttemptEnd
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.Refusal
+import hawthorncrank.entry.core.RequestResult
+import hawthorncrank.entry.core.SilencePhase
+import hawthorncrank.protocol.CallOutcome
+import hawthorncrank.protocol.EntryToControl
+
+/**
+ * What becomes of a call under a claim once it was sent. Its outcome is recorded before the caller hears of it, or 2 s
+ * later as pending. An interrupted call is unknown and is recorded as such.
+ */
+internal fun Reduction.claimedAttemptEnded(
+    active: ActiveRequest,
+    claim: GrantedClaim,
+    attempt: RunningAttempt,
+    end: AttemptEnd,
+) {
+    when {
+        end is AttemptEnd.Completed -> {
+            noteSuccess(active, attempt, end)
+            recordOutcome(active, claim, end.answer ?: CallOutcome.Answered(end.status, "", null, ""))
+        }
+
+        end is AttemptEnd.NotConnected || end is AttemptEnd.Silent && end.phase == SilencePhase.CONNECT ->
+            // No byte left this process, so the claim is still undispatched.
+            retryOrRefuse(
+                active.copy(lastUpstream = attempt.upstream),
+                charged = true,
+                Refusal.NoUpstream(active.request.target.label),
+            )
+
+        end is AttemptEnd.NotBegun -> {
+            explain(active.number, "the upstream refused it before running it")
+            refuse(active, Refusal.Overloaded(end.retryAfterMilliseconds ?: DEFAULT_RETRY_AFTER_MILLISECONDS))
+        }
+
+        !rules.claimedCallsRunOnce -> enqueue(active)
+
+        else -> {
+            record(EntryDecisionEvent.OUTCOME_UNKNOWN, "request" to active.number, "claim" to claim.claimNumber)
+            recordOutcome(active, claim, CallOutcome.Unknown)
+        }
+    }
+}
+
+private fun Reduction.recordOutcome(
+    active: ActiveRequest,
+    claim: GrantedClaim,
+    outcome: CallOutcome,
+) {
+    leaveUpstream(active, tokens = 0, whole = false)
+    val number = claim.claimNumber
+    val pending = PendingOutcome(claim.key, outcome, active.number, sentAt = now)
+    claims { it.copy(outcomes = it.outcomes.put(number, pending)) }
+    explain(active.number, "has the outcome ${describe(outcome)}, which control is asked to record")
+    if (state.controlLink.open) {
+        emit(EntryEffect.SendToControl(EntryToControl.OutcomeRecord(claim.key, number, outcome)))
+    }
+    if (active.callerLeft) return finish(active, RequestResult.CALLER_LEFT)
+    update(active.copy(phase = RequestPhase.Recording(number, now, outcome is CallOutcome.Answered)))
+}
+
+private fun describe(outcome: CallOutcome): String =
+    when (outcome) {
+        is CallOutcome.Answered -> "\"answered with status ${outcome.status}\""
+        CallOutcome.Unknown -> "\"unknown\""
+    }
+
+internal fun Reduction.outcomeRecorded(claimNumber: Long) {
+    val pending = state.claims.outcomes[claimNumber] ?: return
+    claims { it.copy(outcomes = it.outcomes.remove(claimNumber)) }
+    val active = state.requests.active[pending.requestNumber] ?: return
+    val phase = active.phase
+    if (phase is RequestPhase.Recording && phase.claimNumber == claimNumber) release(active, phase, recorded = true)
+}
+
+internal fun Reduction.releaseOverdueAnswers() {
+    state.requests.active.values.forEach { active ->
+        val phase = active.phase
+        if (phase is RequestPhase.Recording && now - phase.since >= RECORD_WAIT_MILLISECONDS) {
+            record(EntryDecisionEvent.OUTCOME_PENDING, "request" to active.number, "claim" to phase.claimNumber)
+            release(active, phase, recorded = false)
+        }
+    }
+}
+
+private fun Reduction.release(
+    active: ActiveRequest,
+    phase: RequestPhase.Recording,
+    recorded: Boolean,
+) {
+    explain(active.number, if (recorded) "has its outcome recorded" else "is answered with its record pending")
+    if (!phase.answered) return refuse(active, Refusal.OutcomeUnknown(phase.claimNumber))
+    emit(EntryEffect.ReleaseAnswer(active.number, recorded))
+    update(active.copy(phase = RequestPhase.Delivering))
+}
+
+private const val RECORD_WAIT_MILLISECONDS = 2_000L
+internal const val DEFAULT_RETRY_AFTER_MILLISECONDS = 1_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Reduction.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Reduction.kt
@@ -11,15 +11,23 @@
  * the reducer as a whole stays a pure function. Features are extension functions on it, one file each.
  */
 internal class Reduction(
-    var state: EntryState,
+    val before: EntryState,
     val now: Long,
     val settings: EntrySettings,
+    val rules: EntryRules,
 ) {
+    var state = before
+
     private val collected = persistentListOf<EntryEffect>().builder()
 
     fun emit(effect: EntryEffect) {
         collected.add(effect)
     }
 
+    fun record(
+        event: EntryDecisionEvent,
+        vararg fields: Pair<String, Any?>,
+    ) = emit(EntryEffect.RecordEvent(event, mapOf(*fields)))
+
     fun effects(): PersistentList<EntryEffect> = collected.build()
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -1,101 +1,171 @@
 package hawthorncrank.entry.core.internal
 
-import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.CallerRequest
 import hawthorncrank.entry.core.CancelReason
 import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.Measurement
 import hawthorncrank.entry.core.Refusal
-import hawthorncrank.entry.core.RequestTarget
-import hawthorncrank.entry.core.SilenceTimeouts
-import hawthorncrank.protocol.Upstream
+import hawthorncrank.entry.core.RequestResult
+import hawthorncrank.protocol.TrafficClass
 
+/** A request from its arrival to its one final answer. */
 internal fun Reduction.requestArrived(request: CallerRequest) {
-    if (state.stopping) return emit(EntryEffect.RefuseCaller(request.number, Refusal.Stopping))
-    val upstream =
-        eligible(request.target).minByOrNull { candidate ->
-            state.attempts.running.values
-                .count { it.upstream == candidate.name }
-        }
-            ?: return emit(EntryEffect.RefuseCaller(request.number, Refusal.NoUpstream(request.target.toString())))
-    val number = state.attempts.nextNumber
-    state =
-        state.copy(
-            requests =
-                state.requests.copy(
-                    active = state.requests.active.put(request.number, ActiveRequest(request, now, number)),
-                ),
-            attempts =
-                state.attempts.copy(
-                    running =
-                        state.attempts.running.put(
-                            number,
-                            RunningAttempt(number, request.number, upstream.name),
-                        ),
-                    nextNumber = number + 1,
-                ),
-        )
-    emit(
-        EntryEffect.StartAttempt(
-            attemptNumber = number,
-            requestNumber = request.number,
-            upstream = upstream.name,
-            address = upstream.address,
-            priority = 1,
-            timeouts = SilenceTimeouts(1_000, 10_000, 10_000),
-            deadlineMilliseconds = request.finishBy?.let { it - now },
-            claimNumber = null,
-            resume = null,
-        ),
-    )
+    explain(request.number, "arrived from ${request.organisation} in class ${request.className}")
+    val active = ActiveRequest(request, now, RequestPhase.Queued)
+    update(active)
+    val refusal = refusalOnArrival(request)
+    when {
+        refusal != null -> refuse(active, refusal)
+        request.isIdempotent -> enqueue(active)
+        else -> askForClaim(active)
+    }
 }
 
-private fun Reduction.eligible(target: RequestTarget): List<Upstream> =
-    state.configuration.configuration.upstreams.filter {
-        val serves =
-            when (target) {
-                is RequestTarget.Model -> target.model in it.models
-                is RequestTarget.Service -> it.service == target.service && target.idempotent
-            }
-        serves && !it.leaving && it.name !in state.membership.leaving &&
-            state.membership.live?.contains(it.name) != false
+private fun Reduction.refusalOnArrival(request: CallerRequest): Refusal? {
+    val configuration = state.configuration.configuration
+    val organisation = configuration.organisations.firstOrNull { it.name == request.organisation }
+    val permitted = organisation != null && request.className in organisation.classes && trafficClass(request) != null
+    return when {
+        state.stop.requested -> Refusal.Stopping
+        !state.configuration.inForce -> Refusal.NoUpstream(request.target.label)
+        !permitted -> Refusal.NotPermitted(request.className)
+        !mayRun(request.contentDigest) -> Refusal.Convicted(request.contentDigest)
+        configuration.upstreams.none { serves(it, request.target) } -> Refusal.NoUpstream(request.target.label)
+        !request.isIdempotent && idempotencyKey(request).isEmpty() -> Refusal.KeyMissing
+        else -> null
     }
+}
 
-internal fun Reduction.attemptFirstByte(attemptNumber: Long) {
-    val attempt = state.attempts.running[attemptNumber] ?: return
-    val active = state.requests.active[attempt.requestNumber] ?: return
-    state =
-        state.copy(
-            requests =
-                state.requests.copy(
-                    active = state.requests.active.put(attempt.requestNumber, active.copy(firstByteAt = now)),
-                ),
-        )
+internal fun Reduction.trafficClass(request: CallerRequest): TrafficClass? =
+    state.configuration.configuration.classes
+        .firstOrNull { it.name == request.className }
+
+/** Ends a request with a refusal. A claim that it holds undispatched is given up first. */
+internal fun Reduction.refuse(
+    active: ActiveRequest,
+    refusal: Refusal,
+) {
+    if (active.waiting) giveUpClaim(active)
+    val stated = if (active.mayHaveRun && rules.refusalsStateTheTruth) refusal.afterAttempt() else refusal
+    explain(active.number, "was refused with status ${stated.status}: ${stated.problem}")
+    if (!active.callerLeft) emit(EntryEffect.RefuseCaller(active.number, stated))
+    finish(active, if (active.mayHaveRun) RequestResult.INTERRUPTED else RequestResult.REFUSED)
 }
 
-internal fun Reduction.attemptEnded(
-    attemptNumber: Long,
-    end: AttemptEnd,
+/** Ends a request whose answer has begun at its caller and cannot go on. */
+internal fun Reduction.breakStream(
+    active: ActiveRequest,
+    reason: String,
 ) {
-    val attempt = state.attempts.running[attemptNumber] ?: return
-    state = state.copy(attempts = state.attempts.copy(running = state.attempts.running.remove(attemptNumber)))
-    val active = state.requests.active[attempt.requestNumber] ?: return
-    if (end is AttemptEnd.Completed || active.attempt != attemptNumber) return
-    forget(attempt.requestNumber)
-    if (active.firstByteAt != null) {
-        emit(EntryEffect.BreakStream(attempt.requestNumber, "the upstream broke off the answer"))
-    } else {
-        emit(EntryEffect.RefuseCaller(attempt.requestNumber, Refusal.Interrupted))
-    }
+    explain(active.number, "ended with an error after its answer had begun: $reason")
+    emit(EntryEffect.BreakStream(active.number, reason))
+    finish(active, RequestResult.INTERRUPTED)
 }
 
 internal fun Reduction.callerLeft(requestNumber: Long) {
     val active = state.requests.active[requestNumber] ?: return
-    forget(requestNumber)
-    active.attempt?.let { emit(EntryEffect.CancelAttempt(it, CancelReason.CALLER_LEFT)) }
+    explain(requestNumber, "lost its caller")
+    val phase = active.phase
+    when {
+        // A call that was sent under a claim runs to its end, so that a resend gets its answer.
+        phase is RequestPhase.Running && active.grantedClaim != null -> update(active.copy(callerLeft = true))
+
+        phase is RequestPhase.Running -> {
+            cancelAttempt(phase.attemptNumber, CancelReason.CALLER_LEFT)
+            finish(active, RequestResult.CALLER_LEFT)
+        }
+
+        else -> {
+            if (active.waiting) giveUpClaim(active)
+            finish(active, RequestResult.CALLER_LEFT)
+        }
+    }
+}
+
+internal fun Reduction.answerDelivered(requestNumber: Long) {
+    val active = state.requests.active[requestNumber] ?: return
+    if (active.phase != RequestPhase.Delivering) return
+    explain(requestNumber, "was answered whole")
+    finish(active, RequestResult.COMPLETED)
 }
 
-internal fun Reduction.answerDelivered(requestNumber: Long) = forget(requestNumber)
+internal fun Reduction.finishReplayed(active: ActiveRequest) = finish(active, RequestResult.COMPLETED)
 
-private fun Reduction.forget(requestNumber: Long) {
-    state = state.copy(requests = state.requests.copy(active = state.requests.active.remove(requestNumber)))
+/** Refuses or stops a request whose content may no longer run. */
+internal fun Reduction.stopConvicted(active: ActiveRequest) {
+    val phase = active.phase
+    if (phase is RequestPhase.Delivering || phase is RequestPhase.Recording) return
+    if (phase is RequestPhase.Running) {
+        if (active.grantedClaim != null) return
+        cancelAttempt(phase.attemptNumber, CancelReason.SUPERSEDED)
+    }
+    if (active.answerBegan) return breakStream(active, "its content crashed engines")
+    val ran = active.mayHaveRun || phase is RequestPhase.Running
+    refuse(active.copy(mayHaveRun = ran), Refusal.Convicted(active.request.contentDigest))
+}
+
+/** Stops waiting for answers that no longer help their callers and have not begun. */
+internal fun Reduction.requestsTick() {
+    state.requests.active.values.forEach { active ->
+        val phase = active.phase
+        val late = now >= (active.request.finishBy ?: Long.MAX_VALUE)
+        val useless = late && !active.answerBegan && active.grantedClaim == null
+        if (useless && phase is RequestPhase.Running) {
+            cancelAttempt(phase.attemptNumber, CancelReason.DEADLINE)
+            refuse(active.copy(mayHaveRun = true), Refusal.TooLate(DEFAULT_RETRY_AFTER_MILLISECONDS))
+        }
+    }
+    state.requests.active.values
+        .filter { it.phase == RequestPhase.Queued && now - it.arrivedAt >= UPSTREAM_WAIT_MILLISECONDS }
+        .filterNot { anyUpstreamMayGetWork(it.request.target) }
+        .forEach { refuse(it, Refusal.NoUpstream(it.request.target.label)) }
+}
+
+/** Forgets a request everywhere. What still runs for it has been cancelled by now. */
+internal fun Reduction.finish(
+    active: ActiveRequest,
+    result: RequestResult,
+) {
+    if (active.number !in state.requests.active) return
+    state = state.copy(requests = state.requests.copy(active = state.requests.active.remove(active.number)))
+    unschedule(active)
+    emit(EntryEffect.Measure(measurementOf(active, result)))
 }
+
+private fun Reduction.measurementOf(
+    active: ActiveRequest,
+    result: RequestResult,
+): Measurement {
+    val total = now - active.arrivedAt
+    val firstByte = active.firstByteAt?.let { it - active.arrivedAt }
+    val tokens = active.deliveredTokens
+    val targets = trafficClass(active.request)
+    val interval = if (firstByte != null && tokens > 1) (total - firstByte) / (tokens - 1) else null
+    val attained =
+        result == RequestResult.COMPLETED &&
+            within(firstByte, targets?.firstToken?.value) &&
+            within(interval, targets?.betweenTokens?.value) &&
+            within(total, targets?.finishBy?.value)
+    return Measurement.RequestEnded(
+        organisation = active.request.organisation,
+        className = active.request.className,
+        result = result,
+        waited = (active.startedAt ?: now) - active.arrivedAt,
+        firstByte = firstByte,
+        total = total,
+        tokens = tokens,
+        attained = attained,
+    )
+}
+
+private fun within(
+    measured: Long?,
+    target: Long?,
+): Boolean = measured == null || target == null || measured <= target
+
+internal fun Reduction.update(active: ActiveRequest) {
+    state = state.copy(requests = state.requests.copy(active = state.requests.active.put(active.number, active)))
+}
+
+// A request waits this long for an upstream to come back before it is told that there is none.
+private const val UPSTREAM_WAIT_MILLISECONDS = 10_000L
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
@@ -0,0 +1,154 @@
+package hawthorncrank.entry.core.internal
+
+import hawthorncrank.entry.core.AttemptEnd
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.Measurement
+import hawthorncrank.entry.core.Refusal
+import hawthorncrank.entry.core.ResumePoint
+import hawthorncrank.entry.core.SilencePhase
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.UpstreamKind
+
+/**
+ * What follows the end of an idempotent attempt: the answer, another attempt, a resumed stream or an error. Once bytes
+ * have reached the caller, nothing but the same stream may follow them.
+ */
+internal fun Reduction.unclaimedAttemptEnded(
+    active: ActiveRequest,
+    attempt: RunningAttempt,
+    end: AttemptEnd,
+) {
+    if (end is AttemptEnd.Completed) return completed(active, attempt, end)
+    if (active.answerBegan && rules.deliveredBytesForbidRestart) return continueStream(active, attempt, end)
+    wasted(attempt, end)
+    val target = active.request.target.label
+    val next = active.copy(lastUpstream = attempt.upstream)
+    when (end) {
+        is AttemptEnd.NotBegun -> {
+            val retryAfter = end.retryAfterMilliseconds ?: DEFAULT_RETRY_AFTER_MILLISECONDS
+            retryOrRefuse(next, charged = true, Refusal.Overloaded(retryAfter))
+        }
+
+        is AttemptEnd.Broken -> {
+            val crashed = upstream(attempt.upstream)?.kind == UpstreamKind.ENGINE
+            retryOrRefuse(next, charged = !crashed, Refusal.Interrupted)
+        }
+
+        is AttemptEnd.Silent ->
+            if (end.phase == SilencePhase.CONNECT) {
+                retryOrRefuse(next, charged = true, Refusal.NoUpstream(target))
+            } else {
+                retryOrRefuse(next, charged = true, Refusal.Interrupted)
+            }
+
+        is AttemptEnd.Cancelled -> retryOrRefuse(next, charged = true, Refusal.Interrupted)
+
+        else -> retryOrRefuse(next, charged = true, Refusal.NoUpstream(target))
+    }
+}
+
+private fun Reduction.completed(
+    active: ActiveRequest,
+    attempt: RunningAttempt,
+    end: AttemptEnd.Completed,
+) {
+    noteSuccess(active, attempt, end)
+    leaveUpstream(active, end.tokens, whole = true)
+    val answered =
+        active.copy(
+            phase = RequestPhase.Delivering,
+            firstByteAt = active.firstByteAt ?: now,
+            deliveredTokens = active.deliveredTokens + end.tokens,
+        )
+    update(answered)
+    explain(active.number, "got the whole answer of attempt ${attempt.number} with status ${end.status}")
+}
+
+internal fun Reduction.noteSuccess(
+    active: ActiveRequest,
+    attempt: RunningAttempt,
+    end: AttemptEnd.Completed,
+) {
+    val target = active.request.target.label
+    if (end.status < SERVER_ERROR_STATUS) state = state.copy(budget = state.budget.succeeded(target, now))
+    val region = upstream(attempt.upstream)?.region ?: return
+    if (region == settings.region) return
+    val bytes = active.request.bodyBytes + end.bytes
+    emit(EntryEffect.Measure(Measurement.CrossRegionBytes(active.request.organisation, bytes)))
+}
+
+/** Queues the request for another attempt. [charged] retries come out of the budget of the model or service. */
+internal fun Reduction.retryOrRefuse(
+    active: ActiveRequest,
+    charged: Boolean,
+    refusal: Refusal,
+) {
+    val target = active.request.target.label
+    val obstacle =
+        when {
+            active.attempts >= ATTEMPTS_LIMIT -> "it had ${active.attempts} attempts"
+            charged && !state.budget.allows(target, now) -> "the retry budget of $target is used up"
+            else -> null
+        }
+    if (!mayRun(active.request.contentDigest)) {
+        return refuse(active.copy(phase = RequestPhase.Queued), Refusal.Convicted(active.request.contentDigest))
+    }
+    if (obstacle != null) {
+        record(EntryDecisionEvent.RETRY_REFUSED, "request" to active.number, "reason" to obstacle)
+        explain(active.number, "is not retried because $obstacle")
+        return refuse(active.copy(phase = RequestPhase.Queued), refusal)
+    }
+    if (charged) state = state.copy(budget = state.budget.retried(target, now))
+    explain(active.number, if (charged) "is retried" else "is retried without charge to the budget")
+    enqueue(active)
+}
+
+/** Bytes are at the caller: the same stream goes on from there on the same engine, or it ends with an error. */
+private fun Reduction.continueStream(
+    active: ActiveRequest,
+    attempt: RunningAttempt,
+    end: AttemptEnd,
+) {
+    val bytes = active.deliveredBytes + bytesOf(attempt, end)
+    val delivered =
+        active.copy(
+            deliveredBytes = bytes,
+            deliveredTokens = active.deliveredTokens + tokensOf(attempt, end),
+        )
+    val engine = upstream(attempt.upstream)
+    if (engine == null || !mayResume(delivered, engine, end)) {
+        return breakStream(delivered, "the upstream broke off the answer")
+    }
+    state = state.copy(budget = state.budget.retried(active.request.target.label, now))
+    explain(active.number, "resumes its stream on ${engine.name} after $bytes bytes")
+    resumeAttempt(delivered, engine, ResumePoint(attempt.number, bytes))
+}
+
+private fun Reduction.mayResume(
+    active: ActiveRequest,
+    engine: Upstream,
+    end: AttemptEnd,
+): Boolean {
+    val interrupted = end is AttemptEnd.Broken || end is AttemptEnd.Silent && end.phase != SilencePhase.CONNECT
+    return interrupted &&
+        active.request.streamed &&
+        engine.resumesStreams &&
+        active.attempts < ATTEMPTS_LIMIT &&
+        !isLeaving(engine) &&
+        mayRun(active.request.contentDigest) &&
+        state.budget.allows(active.request.target.label, now)
+}
+
+private fun bytesOf(
+    attempt: RunningAttempt,
+    end: AttemptEnd,
+): Long =
+    when (end) {
+        is AttemptEnd.Broken -> maxOf(end.bytes, attempt.bytes)
+        is AttemptEnd.Silent -> maxOf(end.bytes, attempt.bytes)
+        else -> attempt.bytes
+    }
+
+// Bounds the work that one request can cause when every upstream fails it at once.
+private const val ATTEMPTS_LIMIT = 5
+private const val SERVER_ERROR_STATUS = 500
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/StopState.kt
@@ -0,0 +1,8 @@
+package hawthorncrank.entry.core.internal
+
+/** A requested stop. [emptySince] is when the last request ended; claim records may be outstanding after that. */
+internal data class StopState(
+    val requested: Boolean = false,
+    val emptySince: Long? = null,
+    val terminated: Boolean = false,
+)
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
@@ -0,0 +1,40 @@
+package hawthorncrank.entry.core.internal
+
+import hawthorncrank.entry.core.EntryEffect
+
+/**
+ * A graceful stop: readiness turns first, so that the load balancer looks elsewhere; queued and running work finishes;
+ * nothing new begins; the process ends when nothing is left.
+ */
+internal fun Reduction.stopRequested() {
+    if (state.stop.requested) return
+    state = state.copy(stop = state.stop.copy(requested = true))
+    emit(EntryEffect.ReadinessChanged(false, "the entry is stopping"))
+    record(EntryDecisionEvent.STOP_REQUESTED, "requests" to state.requests.active.size)
+}
+
+internal fun Reduction.terminateWhenEmpty() {
+    val stop = state.stop
+    if (!stop.requested || stop.terminated) return
+    val empty =
+        state.requests.active.isEmpty() &&
+            state.attempts.running.values
+                .none { it.cancelled == null }
+    if (!empty) return
+    val since = stop.emptySince ?: now
+    state = state.copy(stop = stop.copy(emptySince = since))
+    if (!state.claims.settled) {
+        if (now - since < RECORDS_WAIT_MILLISECONDS) return
+        record(
+            EntryDecisionEvent.STOP_LEFT_RECORDS,
+            "outcomes" to state.claims.outcomes.size,
+            "abandons" to state.claims.abandons.size,
+        )
+    }
+    state = state.copy(stop = state.stop.copy(terminated = true))
+    record(EntryDecisionEvent.STOP_FINISHED)
+    emit(EntryEffect.Terminate)
+}
+
+// Without control the records cannot be delivered; resends then get "outcome unknown", which is the truth.
+private const val RECORDS_WAIT_MILLISECONDS = 10_000L
--- /dev/null
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamReports.kt
@@ -0,0 +1,72 @@
+package hawthorncrank.entry.core.internal
+
+import hawthorncrank.entry.core.CacheChange
+import hawthorncrank.entry.core.LoadReport
+import hawthorncrank.protocol.ZoneMessage
+import hawthorncrank.routing.UpstreamLoad
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** What the router learns from outside: load, cache contents, eligible upstreams and the number of live entries. */
+internal fun Reduction.loadReported(
+    name: String,
+    report: LoadReport,
+) {
+    if (upstream(name) == null) return
+    val load =
+        UpstreamLoad(report.sequence, report.running, report.queued, report.slots, report.tokenIntervalMilliseconds)
+    state = state.copy(router = state.router.observeLoad(name, load, now))
+}
+
+internal fun Reduction.cacheChanged(
+    name: String,
+    change: CacheChange,
+) {
+    if (upstream(name) == null) return
+    state = state.copy(router = state.router.observeCache(name, change.sequence, change.stored, change.evicted))
+}
+
+internal fun Reduction.configurationChanged() {
+    val configuration = state.configuration.configuration
+    val labels = configuration.upstreams.flatMap { it.models } + configuration.services.map { it.name }
+    state =
+        state.copy(
+            scheduler = state.scheduler.configure(configuration),
+            router = state.router.configure(configuration),
+            budget = state.budget.retain(labels.toSet()),
+        )
+    pruneMembership()
+}
+
+/** Tells the router which upstreams get new work. */
+internal fun Reduction.updateEligibility() {
+    if (state.membership === before.membership && state.configuration === before.configuration) return
+    val changed =
+        state.configuration.configuration.upstreams
+            .filter { mayGetWork(it) != state.router.view.isEligible(it.name) }
+    changed.forEach { state = state.copy(router = state.router.setEligible(it.name, mayGetWork(it))) }
+}
+
+/** When each neighbour was last heard. Until [since] is long enough ago, every configured neighbour counts as live. */
+internal data class ZoneState(
+    val since: Long? = null,
+    val heardAt: PersistentMap<String, Long> = persistentMapOf(),
+    val live: Int,
+)
+
+internal fun Reduction.neighbourHeard(message: ZoneMessage) {
+    if (message.entry == settings.name || message.entry !in settings.zoneEntries) return
+    state = state.copy(zone = state.zone.copy(heardAt = state.zone.heardAt.put(message.entry, now)))
+}
+
+internal fun Reduction.zoneTick() {
+    val zone = state.zone.copy(since = state.zone.since ?: now)
+    val settled = now - (zone.since ?: now) >= NEIGHBOUR_SILENCE_MILLISECONDS
+    val heard = zone.heardAt.values.count { now - it < NEIGHBOUR_SILENCE_MILLISECONDS } + 1
+    val live = if (settled) heard else settings.zoneEntries.size
+    state = state.copy(zone = zone.copy(live = live))
+    if (live != zone.live) state = state.copy(router = state.router.setLiveEntries(live))
+}
+
+// Neighbours repeat their notices every 5 s; two may be lost before one counts as gone.
+private const val NEIGHBOUR_SILENCE_MILLISECONDS = 12_000L
--- /dev/null
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/EntryNode.kt
@@ -0,0 +1,229 @@
+package hawthorncrank.entry.core
+
+import hawthorncrank.entry.core.internal.EntryRules
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.ZoneMessage
+
+/**
+ * One run of an entry process: the reducer, a traffic side that carries out its effects, and its links. Reports of the
+ * traffic side reach the reducer a little later, as they do between threads.
+ */
+internal class EntryNode(
+    private val simulation: Simulation,
+    private val fleet: Fleet,
+    val name: String,
+    rules: EntryRules,
+) {
+    private val settings = EntrySettings(name, "zone", "region", fleet.zoneEntries, simulation.random.nextLong())
+    private val reducer = entryReducer(settings, rules)
+    var state = initialEntryState(settings)
+        private set
+    var alive = true
+        private set
+    val submissions = mutableMapOf<Long, Submission>()
+    private val exchanges = mutableMapOf<Long, Exchange>()
+    private val delivered = mutableMapOf<Long, Long>()
+    private val held = mutableMapOf<Long, Chunk>()
+    private var nextRequest = 1L
+    private var linked = false
+    private var lastBlocked = Long.MIN_VALUE / 2
+    private var linkOrder = 0L
+    private var reportOrder = 0L
+
+    fun begin() {
+        simulation.every(100, { alive }) { send(EntryEvent.Tick) }
+        simulation.every(250, { alive }) { checkLink() }
+        simulation.every(
+            1_000,
+            { alive },
+        ) { send(EntryEvent.MembershipReported(fleet.live(), fleet.leaving.keys.toSet())) }
+    }
+
+    fun send(event: EntryEvent) {
+        if (!alive) return
+        val transition = reducer.reduce(state, event, simulation.now)
+        state = transition.state
+        transition.effects.forEach { if (alive) carryOut(it) }
+    }
+
+    /** Traffic threads report in order, up to 5 ms later. */
+    private fun report(event: EntryEvent) {
+        reportOrder = maxOf(reportOrder, simulation.now + simulation.between(0, 5))
+        simulation.after(reportOrder - simulation.now) { send(event) }
+    }
+
+    fun submit(caller: Caller): Submission {
+        val number = nextRequest++
+        val submission = Submission(caller, this, number)
+        submissions[number] = submission
+        caller.submissions.add(submission)
+        fleet.submissions.add(submission)
+        report(EntryEvent.RequestArrived(caller.request(number)))
+        return submission
+    }
+
+    fun callerLeaves(submission: Submission) {
+        if (submission.closed) return
+        submission.left = true
+        report(EntryEvent.CallerLeft(submission.number))
+    }
+
+    private fun carryOut(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.StartAttempt -> startAttempt(effect)
+            is EntryEffect.CancelAttempt ->
+                exchanges[effect.attemptNumber]?.let {
+                    fleet
+                        .upstream(
+                            it.start.upstream,
+                        ).cancel(it)
+                }
+            is EntryEffect.ReleaseAnswer -> releaseAnswer(effect.requestNumber)
+            is EntryEffect.RefuseCaller -> submissions[effect.requestNumber]?.finish(Final.Refused(effect.refusal))
+            is EntryEffect.ReplayAnswer ->
+                submissions[effect.requestNumber]?.finish(
+                    Final.Replayed(effect.body?.decodeToString()),
+                )
+            is EntryEffect.BreakStream ->
+                submissions[effect.requestNumber]?.takeIf { !it.closed }?.finish(
+                    Final.BrokenStream,
+                )
+            is EntryEffect.SendToControl -> toControl(effect.message)
+            is EntryEffect.SendToZone -> toZone(effect.message, effect.recipient)
+            is EntryEffect.ProbeUpstream ->
+                simulation.after(30) {
+                    val upstream = fleet.upstream(effect.upstream)
+                    send(EntryEvent.ProbeAnswered(effect.upstream, !upstream.down && !upstream.hanging))
+                }
+            is EntryEffect.ConfigurationApplied -> fleet.applied.getOrPut(name) { mutableListOf() }.add(effect.version)
+            EntryEffect.Terminate -> terminated()
+            else -> Unit
+        }
+    }
+
+    private fun startAttempt(start: EntryEffect.StartAttempt) {
+        val submission = submissions.getValue(start.requestNumber)
+        val exchange = Exchange(this, start, submission, simulation.now)
+        exchanges[start.attemptNumber] = exchange
+        val begun = submission.chunks.isNotEmpty() && start.resume == null
+        // The contract of StartAttempt: bytes of another attempt are at the caller, so this one is not sent.
+        if (begun &&
+            fleet.trafficGuards
+        ) {
+            return exchangeEnded(exchange.also { it.closed = true }, AttemptEnd.Cancelled(0))
+        }
+        submission.answeringAttempt = start.attemptNumber
+        fleet.starts.add(Start(start.upstream, simulation.now))
+        simulation.after(simulation.between(1, 20)) {
+            if (alive && !exchange.closed) fleet.upstream(start.upstream).open(exchange)
+        }
+    }
+
+    fun receivedChunk(
+        exchange: Exchange,
+        chunk: Chunk,
+    ) {
+        if (!alive) return
+        val number = exchange.start.attemptNumber
+        if (exchange.submission.answeringAttempt != number) return
+        if (!exchange.submission.closed) exchange.submission.chunks.add(chunk)
+        val count = delivered.merge(number, 1, Long::plus) ?: 1
+        report(
+            if (count ==
+                1L
+            ) {
+                EntryEvent.AttemptFirstByte(number)
+            } else {
+                EntryEvent.AttemptProgress(number, count.toInt(), count)
+            },
+        )
+    }
+
+    fun deliveredBy(attemptNumber: Long): Long = delivered[attemptNumber] ?: 0
+
+    fun exchangeEnded(
+        exchange: Exchange,
+        end: AttemptEnd,
+    ) {
+        if (!alive) return
+        val number = exchange.start.attemptNumber
+        val submission = exchange.submission
+        exchanges.remove(number)
+        val execution = exchange.execution
+        if (end is AttemptEnd.Completed) {
+            if (end.answer != null && execution != null) {
+                held[submission.number] = Chunk(execution, 0)
+            } else if (submission.answeringAttempt == number && !submission.closed) {
+                submission.finish(Final.Whole)
+                simulation.after(5) { report(EntryEvent.AnswerDelivered(submission.number)) }
+            }
+        }
+        report(EntryEvent.AttemptEnded(number, end))
+    }
+
+    private fun releaseAnswer(requestNumber: Long) {
+        val submission = submissions.getValue(requestNumber)
+        submission.chunks.add(held.remove(requestNumber) ?: error("no answer is held for request $requestNumber"))
+        submission.finish(Final.Whole)
+        simulation.after(5) { report(EntryEvent.AnswerDelivered(requestNumber)) }
+    }
+
+    private fun checkLink() {
+        val blocked = fleet.blocked(name, CONTROL) || fleet.blocked(CONTROL, name)
+        if (blocked && lastBlocked < 0) lastBlocked = simulation.now
+        if (!blocked) lastBlocked = Long.MIN_VALUE / 2
+        if (linked && blocked && simulation.now - lastBlocked >= LINK_SILENCE) {
+            linked = false
+            send(EntryEvent.ControlLinkClosed)
+        } else if (!linked && !blocked) {
+            linked = true
+            linkOrder = 0
+            send(EntryEvent.ControlLinkOpened)
+            fleet.control.linkOpened(this)
+        }
+    }
+
+    private fun toControl(message: EntryToControl) {
+        if (!linked || fleet.blocked(name, CONTROL)) return
+        // Some messages are held up in the network; a link keeps their order, a new link may overtake the old one.
+        val delay = if (simulation.chance(2)) simulation.between(1_000, 6_000) else simulation.between(1, 40)
+        linkOrder = maxOf(linkOrder, simulation.now + delay)
+        simulation.after(linkOrder - simulation.now) { fleet.control.receive(this, message) }
+    }
+
+    fun fromControl(message: ControlToEntry) {
+        if (!linked || fleet.blocked(CONTROL, name)) return
+        simulation.after(simulation.between(1, 40)) {
+            if (!fleet.blocked(CONTROL, name)) send(EntryEvent.ControlMessageReceived(message))
+        }
+    }
+
+    private fun toZone(
+        message: ZoneMessage,
+        recipient: String?,
+    ) {
+        fleet.entries.filter { it.name != name && (recipient == null || it.name == recipient) }.forEach { peer ->
+            if (!fleet.blocked(name, peer.name)) {
+                simulation.after(simulation.between(1, 10)) { peer.send(EntryEvent.ZoneMessageReceived(message)) }
+            }
+        }
+    }
+
+    fun kill() {
+        alive = false
+        exchanges.values.forEach { it.closed = true }
+        submissions.values.filterNot { it.closed }.forEach { it.cut = true }
+    }
+
+    private fun terminated() {
+        submissions.values.filterNot { it.closed }.forEach {
+            fleet.violations.add("a graceful stop of $name cut off request ${it.number}")
+        }
+        alive = false
+        fleet.restart(this)
+    }
+}
+
+internal const val CONTROL = "control"
+private const val LINK_SILENCE = 4_000L
--- /dev/null
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/History.kt
@@ -0,0 +1,186 @@
+package hawthorncrank.entry.core
+
+import hawthorncrank.entry.core.internal.EntryRules
+
+/**
+ * One generated history: callers submit calls for 40 s while faults come and go, some of them two at a time; then the
+ * fleet is left in peace until everything must have ended.
+ */
+internal class History(
+    seed: Long,
+    rules: EntryRules = EntryRules(),
+    trafficGuards: Boolean = true,
+) {
+    private val simulation = Simulation(seed)
+    private val fleet = Fleet(simulation, rules, trafficGuards = trafficGuards)
+    private var calls = 0
+    private val faults = mutableListOf<String>()
+
+    fun run(): HistoryResult {
+        fleet.begin()
+        simulation.after(1_000) { nextCall() }
+        simulation.after(2_000) { nextFault() }
+        simulation.runUntil(simulation.now + LOAD_MILLISECONDS + QUIET_MILLISECONDS)
+        return HistoryResult(checkHistory(fleet), faults, fleet)
+    }
+
+    private fun nextCall() {
+        if (calls++ >= CALLS) return
+        val organisation = listOf("lumen", "aisle").random(simulation.random)
+        val kind = simulation.random.nextInt(100)
+        val caller =
+            when {
+                kind < 40 -> {
+                    val target = RequestTarget.Service("orders", idempotent = false, idempotencyKey = "key-$calls")
+                    Caller(organisation, "orders", target, "order-$calls")
+                }
+                kind < 43 ->
+                    Caller(
+                        organisation,
+                        "quick",
+                        model(),
+                        "poison-${simulation.random.nextInt(2)}",
+                        poison = true,
+                    )
+                else -> Caller(organisation, if (kind < 70) "quick" else "patient", model(), "prompt-$calls")
+            }
+        submit(caller, resends = 3)
+        if (caller.keyed && simulation.chance(15)) {
+            simulation.after(simulation.between(0, 400)) { submit(caller, resends = 2) }
+        }
+        simulation.after(simulation.between(0, 2 * LOAD_MILLISECONDS / CALLS)) { nextCall() }
+    }
+
+    private fun model() =
+        RequestTarget.Model("model", promptTokens = 20, maximumTokens = 20, prefixBlocks = emptyList())
+
+    /** Sends a call to any live entry, and again later while it has no answer and may be sent again. */
+    private fun submit(
+        caller: Caller,
+        resends: Int,
+    ) {
+        val entry = fleet.entries.filter { it.alive }.randomOrNull(simulation.random) ?: return
+        val submission = entry.submit(caller)
+        if (simulation.chance(5)) simulation.after(simulation.between(0, 3_000)) { entry.callerLeaves(submission) }
+        if (resends == 0 || !(caller.keyed || caller.poison)) return
+        simulation.after(simulation.between(200, 9_000)) {
+            val last = submission.finals.lastOrNull()
+            if (last == Final.Whole || last is Final.Replayed) return@after
+            if (!submission.closed) entry.callerLeaves(submission)
+            submit(caller, resends - 1)
+        }
+    }
+
+    private fun nextFault() {
+        if (simulation.now >= 1_000_000 + LOAD_MILLISECONDS) return
+        repeat(if (simulation.chance(30)) 2 else 1) { inject() }
+        simulation.after(simulation.between(1_000, 8_000)) { nextFault() }
+    }
+
+    private fun inject() {
+        val entry = fleet.entries.random(simulation.random)
+        val peer = fleet.zoneEntries.filter { it != entry.name }.random(simulation.random)
+        val upstream = fleet.upstreams.random(simulation.random)
+        val duration = simulation.between(500, 9_000)
+        val kind = FaultKind.entries.random(simulation.random)
+        faults.add("$kind ${entry.name} ${upstream.name} at ${simulation.now} for $duration")
+        when (kind) {
+            FaultKind.KILL -> fleet.kill(entry)
+            FaultKind.STOP -> entry.send(EntryEvent.StopRequested)
+            FaultKind.CUT_TO_CONTROL -> fleet.cut(entry.name, CONTROL, duration)
+            FaultKind.CUT_FROM_CONTROL -> fleet.cut(CONTROL, entry.name, duration)
+            FaultKind.CUT_CONTROL -> {
+                fleet.cut(entry.name, CONTROL, duration)
+                fleet.cut(CONTROL, entry.name, duration)
+            }
+            FaultKind.CUT_PEERS -> fleet.cut(entry.name, peer, duration)
+            FaultKind.LOSE_MAJORITY -> {
+                fleet.control.majority = false
+                simulation.after(duration) { fleet.control.majority = true }
+            }
+            FaultKind.CRASH -> upstream.crash(duration)
+            FaultKind.HANG -> {
+                upstream.hanging = true
+                simulation.after(duration) { upstream.hanging = false }
+            }
+            FaultKind.REFUSE -> {
+                upstream.refusing = true
+                simulation.after(duration) { upstream.refusing = false }
+            }
+            FaultKind.SLOW -> {
+                upstream.slow = true
+                simulation.after(duration) { upstream.slow = false }
+            }
+            FaultKind.DROP -> upstream.dropConnection()
+            FaultKind.LEAVE -> if (upstream.name !in fleet.leaving) fleet.mark(upstream.name, maxOf(duration, 4_000))
+            FaultKind.CHANGE ->
+                fleet.control.commit { it.copy(weightStore = it.weightStore.copy(loadsPerMinute = calls + 1)) }
+        }
+    }
+
+    private enum class FaultKind {
+        KILL,
+        STOP,
+        CUT_TO_CONTROL,
+        CUT_FROM_CONTROL,
+        CUT_CONTROL,
+        CUT_PEERS,
+        LOSE_MAJORITY,
+        CRASH,
+        HANG,
+        REFUSE,
+        SLOW,
+        DROP,
+        LEAVE,
+        CHANGE,
+    }
+
+    private companion object {
+        const val CALLS = 60
+        const val LOAD_MILLISECONDS = 40_000L
+
+        // Longer than every silence timeout, retry and repeat, so that no request may be open afterwards.
+        const val QUIET_MILLISECONDS = 90_000L
+    }
+}
+
+internal class HistoryResult(
+    val violations: List<String>,
+    val faults: List<String>,
+    val fleet: Fleet,
+)
+
+/** The promises that hold over every history. Each broken one is a sentence. */
+internal fun checkHistory(fleet: Fleet): List<String> {
+    val found = fleet.violations.toMutableList()
+    val runsByCall = fleet.executions.filter { it.keyed }.groupBy { it.submission.caller }
+    runsByCall.filterValues { it.size > 1 }.forEach { (caller, runs) ->
+        found.add("DOUBLE: ${caller.content} ran ${runs.size} times")
+    }
+    val ran = fleet.executions.map { it.submission }.toSet()
+    fleet.submissions.forEach { submission ->
+        val name = "request ${submission.number} of ${submission.entry.name} (${submission.caller.content})"
+        val refusals = submission.finals.filterIsInstance<Final.Refused>()
+        if (refusals.any { it.refusal.outcome == StatedOutcome.NOT_RUN } && submission in ran) {
+            found.add("NOT RUN: $name ran although its caller was told otherwise")
+        }
+        if (submission.finals.size > 1) found.add("FINALS: $name got ${submission.finals}")
+        if (!submission.closed) found.add("HANGING: $name has no final answer")
+        val whole = submission.chunks.indices.all { submission.chunks[it].offset == it.toLong() }
+        val sources = submission.chunks.map { it.execution }.toSet()
+        if (sources.size > 1 || !whole) found.add("SPLICED: $name got chunks of ${sources.size} executions")
+        if (sources.any { it.content != submission.caller.content }) found.add("MISDELIVERED: $name")
+        val expected = if (submission.caller.keyed) 1 else STREAM_CHUNKS.toInt()
+        if (Final.Whole in submission.finals && submission.chunks.size != expected) found.add("PARTIAL: $name")
+        val replayed = submission.finals.filterIsInstance<Final.Replayed>()
+        if (replayed.any { it.body != submission.caller.content }) found.add("MISDELIVERED: replay for $name")
+    }
+    fleet.applied.forEach { (entry, versions) ->
+        val reverted = versions.zipWithNext().any { (earlier, later) -> later < earlier }
+        if (reverted) found.add("REVERTED: $entry applied $versions")
+    }
+    fleet.engineLosses.groupBy { it }.filterValues { it.size > 3 }.forEach { (loss, all) ->
+        found.add("CRASHES: ${loss.entry.name} lost ${all.size} engines to ${loss.content}")
+    }
+    return found
+}
