--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -55,14 +55,14 @@
         request: HttpServerRequest,
         response: HttpServerResponse,
     ): Publisher<Void> {
-        val current = view() ?: return write(response, rejectionAnswer(Rejection.NotReady))
-        val key = bearerKey(request) ?: return write(response, rejectionAnswer(Rejection.NoKey))
+        val current = view() ?: return reject(response, Rejection.NotReady)
+        val key = bearerKey(request) ?: return reject(response, Rejection.NoKey)
         var loop: EventLoop? = null
         request.withConnection { loop = it.channel().eventLoop() }
         return keys.organisationOf(key).flatMapMany { result ->
             result.fold(
                 success = { organisation -> receive(request, response, current, organisation, checkNotNull(loop)) },
-                failure = { write(response, rejectionAnswer(it)) },
+                failure = { reject(response, it) },
             )
         }
     }
@@ -81,7 +81,7 @@
                         ReceivedRequest(request.method(), request.uri(), request.requestHeaders(), bytes, organisation)
                     exchange(received, response, current, loop)
                 },
-                failure = { write(response, rejectionAnswer(it)) },
+                failure = { reject(response, it) },
             )
         }
 
@@ -121,6 +121,14 @@
             }
     }
 
+    private fun reject(
+        response: HttpServerResponse,
+        rejection: Rejection,
+    ): Publisher<Void> {
+        log.record(EntryEventCode.REQUEST_REJECTED, "status" to rejection.status, "problem" to rejection.problem)
+        return write(response, rejectionAnswer(rejection))
+    }
+
     private fun write(
         response: HttpServerResponse,
         answer: CallerAnswer,
--- /dev/null
+++ b/load/src/main/kotlin/hawthorncrank/load/internal/LatencyPlot.kt
@@ -0,0 +1,50 @@
+package hawthorncrank.load.internal
+
+import hawthorncrank.load.Workload
+import org.knowm.xchart.VectorGraphicsEncoder
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat
+import org.knowm.xchart.XYChart
+import org.knowm.xchart.XYChartBuilder
+import org.knowm.xchart.style.markers.SeriesMarkers
+import java.nio.file.Path
+
+/** Draws the 95th percentile of the time to the first token, by class, over the intended time of the requests. */
+internal fun writeLatencyPlot(
+    workload: Workload,
+    results: List<RequestResult>,
+    file: Path,
+) {
+    val chart: XYChart =
+        XYChartBuilder()
+            .width(WIDTH)
+            .height(HEIGHT)
+            .title("${workload.name}: first token, 95th percentile by class")
+            .xAxisTitle("seconds since the start")
+            .yAxisTitle("milliseconds")
+            .build()
+    chart.styler.isYAxisLogarithmic = true
+    workload.classes.forEach { load ->
+        val bins = bins(results.filter { it.planned.load.name == load.name })
+        if (bins.isEmpty()) return@forEach
+        val series = chart.addSeries(load.name, bins.keys.map { it.toDouble() }, bins.values.toList())
+        series.marker = SeriesMarkers.NONE
+    }
+    if (chart.seriesMap.isEmpty()) return
+    VectorGraphicsEncoder.saveVectorGraphic(chart, file.toString(), VectorGraphicsFormat.SVG)
+}
+
+private fun bins(results: List<RequestResult>): Map<Long, Double> =
+    results
+        .filter { it.firstToken != null }
+        .groupBy { it.planned.time / NANOSECONDS_PER_SECOND }
+        .toSortedMap()
+        .mapValues { (_, inSecond) ->
+            val sorted = inSecond.mapNotNull { it.firstToken }.sorted()
+            sorted[((sorted.size - 1) * PERCENTILE).toInt()].coerceAtLeast(SHORTEST_MILLISECONDS)
+        }
+
+private const val WIDTH = 1_000
+private const val HEIGHT = 600
+private const val PERCENTILE = 0.95
+private const val SHORTEST_MILLISECONDS = 0.1
+private const val NANOSECONDS_PER_SECOND = 1_000_000_000L
--- /dev/null
+++ b/load/src/main/kotlin/hawthorncrank/load/internal/PlannedRequest.kt
@@ -0,0 +1,16 @@
+package hawthorncrank.load.internal
+
+import hawthorncrank.load.ClassLoad
+import hawthorncrank.load.OrganisationLoad
+
+/** One request of the schedule. [time] is when it is sent, in nanoseconds from the start, whatever happens before. */
+internal class PlannedRequest(
+    val number: Int,
+    val time: Long,
+    val load: ClassLoad,
+    val organisation: OrganisationLoad,
+    val entry: String,
+    val outputTokens: Int,
+    val leaves: Boolean,
+    val resends: Int,
+)
