--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -41,9 +41,9 @@
  * Creates the client of a running entry. Non-idempotent calls have their own pool, whose connections are dropped 2 s
  * after their last use, because an older one may have gone silent and would leave the outcome unknown.
  */
-internal fun upstreamClient(): UpstreamClient {
+internal fun upstreamClient(freshLimit: Duration = FRESH_LIMIT): UpstreamClient {
     val pool = connections("upstream", IDLE_LIMIT)
-    val freshPool = connections("upstream-fresh", FRESH_LIMIT)
+    val freshPool = connections("upstream-fresh", freshLimit)
     return UpstreamClient { attempt, request, body, sent ->
         HttpClient
             .create(if (request.idempotent) pool else freshPool)
--- a/entry/src/test/kotlin/hawthorncrank/entry/EntryWithEngineTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/EntryWithEngineTest.kt
@@ -21,6 +21,7 @@
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
 import hawthorncrank.protocol.WireMessage
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -36,7 +37,13 @@
             EmulatorSettings(
                 engines =
                     listOf(
-                        EngineSettings("engine-1", "127.0.0.1:0", listOf("m"), tokenInterval = Milliseconds(1)),
+                        EngineSettings(
+                            "engine-1",
+                            "127.0.0.1:0",
+                            listOf("m"),
+                            tokenInterval = Milliseconds(1),
+                            reportLag = Milliseconds(0),
+                        ),
                     ),
                 services = listOf(ServiceSettings("bookings-1", "127.0.0.1:0", Milliseconds(1))),
             ),
@@ -89,6 +96,20 @@
         assertEquals(503, exchange(entry.httpPort, "GET", "/bookings/7", headers = listOf(AUTHORIZATION)).status)
     }
 
+    /** Guards against a planned stop that cuts off a stream. */
+    @Test
+    fun `a stop waits for the stream in flight`() {
+        awaitReady()
+        val body = """{"model":"m","stream":true,"messages":[{"role":"user","content":"knots [length=300]"}]}"""
+        val answer = CompletableFuture.supplyAsync { post("/v1/chat/completions", body) }
+        while (!exchange(emulator.port("engine-1"), "GET", "/load").body.contains("\"running\":1")) Thread.onSpinWait()
+        val bodyAtStop = CompletableFuture<String>()
+        entry.stop { bodyAtStop.complete(answer.getNow(null)?.body ?: "cut off") }
+        answer.join()
+        assertContains(answer.join().body, "[DONE]")
+        bodyAtStop.get(10, TimeUnit.SECONDS)
+    }
+
     private fun awaitReady() {
         val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20)
         while (exchange(entry.operationsPort, "GET", "/readyz").status != 200) {
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.internal
 
 import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.unwrap
 import hawthorncrank.common.SettingsFailure
 import hawthorncrank.common.decodeSettings
 import hawthorncrank.common.loadSettings
@@ -8,6 +9,8 @@
 import hawthorncrank.entry.EntryProgramSettings
 import hawthorncrank.entry.internal.EntryFixture.Companion.SILENT
 import hawthorncrank.entry.startEntry
+import io.netty.handler.ssl.SslContextBuilder
+import reactor.netty.http.client.HttpClient
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Path
@@ -51,6 +54,33 @@
         }
     }
 
+    @Test
+    fun `a certificate and its key make the HTTP port a TLS port`() {
+        val resources = Path.of("src", "test", "resources")
+        val settings =
+            valid.copy(
+                tlsCertificate = resources.resolve("loopback-certificate.pem").toString(),
+                tlsKey = resources.resolve("loopback-key.pem").toString(),
+            )
+        startEntry(settings, "f.toml", systemClock(), SILENT).unwrap().use { entry ->
+            val trust =
+                SslContextBuilder.forClient().trustManager(
+                    resources.resolve("loopback-certificate.pem").toFile(),
+                )
+            val status =
+                HttpClient
+                    .create()
+                    .secure { it.sslContext(trust.build()) }
+                    .get()
+                    .uri("https://127.0.0.1:${entry.httpPort}/")
+                    .response()
+                    .block()
+                    ?.status()
+                    ?.code()
+            assertEquals(503, status)
+        }
+    }
+
     @Test
     fun `a port in use is named with its key`() {
         ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { taken ->
--- /dev/null
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
@@ -0,0 +1,67 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.SilenceTimeouts
+import io.netty.handler.codec.http.HttpMethod
+import reactor.core.publisher.Mono
+import java.time.Duration
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class UpstreamClientTest {
+    private val connections = CopyOnWriteArrayList<String>()
+    private val upstream =
+        FakeUpstream { request, response, _ ->
+            request.withConnection { connections += it.channel().id().asLongText() }
+            response.sendString(Mono.just("{}"))
+        }
+
+    /** Guards against a non-idempotent call on a connection that may have gone silent since its last use. */
+    @Test
+    fun `only idempotent calls use a connection beyond the limit of freshness`() {
+        val client = upstreamClient(freshLimit = Duration.ZERO)
+        repeat(CALLS) { call(client, idempotent = false) }
+        assertEquals(CALLS, connections.toSet().size)
+        connections.clear()
+        repeat(CALLS) { call(client, idempotent = true) }
+        assertTrue(connections.toSet().size < CALLS)
+        upstream.close()
+    }
+
+    @Test
+    fun `a fresh connection is used again`() {
+        val client = upstreamClient()
+        repeat(CALLS) { call(client, idempotent = false) }
+        assertTrue(connections.toSet().size < CALLS)
+        upstream.close()
+    }
+
+    private fun call(
+        client: UpstreamClient,
+        idempotent: Boolean,
+    ) {
+        val request =
+            OutgoingRequest(HttpMethod.POST, "/", emptyList(), idempotent, streamed = false) { _, _ -> ByteArray(0) }
+        val attempt =
+            EntryEffect.StartAttempt(
+                attemptNumber = 1,
+                requestNumber = 1,
+                upstream = "service-1",
+                address = "127.0.0.1:${upstream.port}",
+                priority = 1,
+                timeouts = SilenceTimeouts(1_000, 1_000, 1_000),
+                deadlineMilliseconds = 900,
+                claimNumber = null,
+                resume = null,
+            )
+        client.exchange(attempt, request, ByteArray(0)) {}.collectList().block()
+        assertEquals("900", upstream.headers.last()["hawthorncrank-deadline-milliseconds"])
+    }
+
+    private companion object {
+        // A connection returns to its pool just after the answer, so that a single next call may still miss it.
+        const val CALLS = 20
+    }
+}
