--- a/emulator/src/main/kotlin/hawthorncrank/emulator/internal/Engine.kt
+++ b/emulator/src/main/kotlin/hawthorncrank/emulator/internal/Engine.kt
@@ -52,10 +52,18 @@
 
     fun state(): CompletableFuture<EngineState> = ask { orders.state }
 
+    /** Checks the order when it arrives; a load then takes its time before it shows. */
     fun order(order: EngineOrder): CompletableFuture<OrderResult> {
         val result = CompletableFuture<OrderResult>()
-        val delay = if (order.order == "load_model") settings.loadTime.value else 0L
-        thread.schedule({ result.complete(orders.apply(order, clock.wallTime())) }, delay, TimeUnit.MILLISECONDS)
+        val duration = if (order.order == "load_model") settings.loadTime.value else 0L
+        thread.execute {
+            val refusal = orders.refusal(order, clock.wallTime())
+            if (refusal != null) {
+                result.complete(refusal)
+            } else {
+                thread.schedule({ result.complete(orders.apply(order)) }, duration, TimeUnit.MILLISECONDS)
+            }
+        }
         return result
     }
 
--- a/emulator/src/main/kotlin/hawthorncrank/emulator/internal/EngineOrders.kt
+++ b/emulator/src/main/kotlin/hawthorncrank/emulator/internal/EngineOrders.kt
@@ -19,7 +19,9 @@
     val expectedVersion: Long? = null,
     @SerialName("expires_at")
     val expiresAt: Long? = null,
-)
+) {
+    val fence: Pair<Long, Long> get() = Pair(fencingTerm, fencingIndex)
+}
 
 @Serializable
 internal data class EngineState(
@@ -37,22 +39,26 @@
         private set
     private var newestFence = Pair(0L, 0L)
 
-    fun apply(
+    /** Why the order must not be carried out, or null. Checked when it arrives and, but for the expiry, when it is done. */
+    fun refusal(
         order: EngineOrder,
-        wallTime: Long,
-    ): OrderResult {
-        val fence = Pair(order.fencingTerm, order.fencingIndex)
+        wallTime: Long?,
+    ): OrderResult.Refused? {
+        val fence = order.fence
         val newest = newestFence
         return when {
             checksFencing && compareValuesBy(fence, newest, { it.first }, { it.second }) < 0 ->
                 OrderResult.Refused("the fencing number $fence is older than $newest")
-            order.expiresAt != null && order.expiresAt < wallTime -> OrderResult.Refused("the order has expired")
+            wallTime != null && order.expiresAt != null && order.expiresAt < wallTime ->
+                OrderResult.Refused("the order has expired")
             order.expectedVersion != null && order.expectedVersion != state.version ->
                 OrderResult.Refused("the order expects version ${order.expectedVersion}, not ${state.version}")
-            else -> carryOut(order, fence)
+            else -> null
         }
     }
 
+    fun apply(order: EngineOrder): OrderResult = refusal(order, wallTime = null) ?: carryOut(order, order.fence)
+
     private fun carryOut(
         order: EngineOrder,
         fence: Pair<Long, Long>,
--- a/emulator/src/test/kotlin/hawthorncrank/emulator/EmulatorTest.kt
+++ b/emulator/src/test/kotlin/hawthorncrank/emulator/EmulatorTest.kt
@@ -15,7 +15,14 @@
 
 class EmulatorTest {
     private val engine =
-        EngineSettings("engine", "127.0.0.1:0", listOf("m"), tokenInterval = Milliseconds(1), resumesStreams = true)
+        EngineSettings(
+            "engine",
+            "127.0.0.1:0",
+            listOf("m"),
+            tokenInterval = Milliseconds(1),
+            resumesStreams = true,
+            checksFencing = true,
+        )
     private val emulator =
         start(
             EmulatorSettings(
@@ -63,13 +70,15 @@
     }
 
     @Test
-    fun `orders check version, expiry and name`() {
-        val order = """{"order":"load_model","value":"n","expected_version":1}"""
+    fun `orders check fencing number, version, expiry and name`() {
+        val order = """{"order":"load_model","value":"n","expected_version":1,"fencing_term":3,"fencing_index":9}"""
         assertContains(post("engine", "/admin/orders", order).body, "\"version\":2")
         assertEquals(409, post("engine", "/admin/orders", order).status)
-        val expired = """{"order":"load_model","value":"n","expires_at":1}"""
+        val fenced = """{"order":"load_model","value":"o","expected_version":2,"fencing_term":2,"fencing_index":99}"""
+        assertContains(post("engine", "/admin/orders", fenced).body, "older")
+        val expired = """{"order":"load_model","value":"n","expires_at":1,"fencing_term":4}"""
         assertContains(post("engine", "/admin/orders", expired).body, "expired")
-        assertEquals(400, post("engine", "/admin/orders", """{"order":"dance","value":""}""").status)
+        assertEquals(400, post("engine", "/admin/orders", """{"order":"dance","value":"","fencing_term":4}""").status)
     }
 
     @Test
