Give an order its expiry when it is posted

An order lives 1 s from the leader's last contact with a majority. Reading the engine's version first used that second up: on a busy machine three tries in a row came back as expired (trial against an engine stand-in, load average 28). The expiry is now taken from the newest state after the version is read; a longer life was ruled out because it must stay below the election timeout.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -34,13 +34,12 @@
         val link: Long,
     ) : ControlEffect
 
-    /** Post the order to the engine; it expires at [expiresAtWallTime]. */
+    /** Post the order to the engine with the expiry that [orderExpiry] gives at that moment. */
     data class PostOrder(
         val upstream: String,
         val address: String,
         val order: EngineOrder,
         val fencing: FencingNumber,
-        val expiresAtWallTime: Long,
     ) : ControlEffect
 
     /** A command was applied this long after it arrived here. */
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -39,7 +39,7 @@
     private val keys = OperatorKeys(settings.operators)
     private val links = ControlLinks(settings, keys, log, thread::send)
     private val disk = StorageThread(storage, log, { thread.send(ControlEvent.Replica(it)) }, failed)
-    private val orders = OrderClient(thread::send)
+    private val orders = OrderClient(::expiry, thread::send)
     private val metrics = ControlMetrics { thread.state }
     private val closed = AtomicBoolean()
     private var server: DisposableServer? = null
@@ -101,6 +101,8 @@
         }
     }
 
+    private fun expiry(term: Long) = orderExpiry(thread.state, term, clock.now(), clock.wallTime())
+
     private fun pages() =
         OperationsPages(
             healthProblem = {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
@@ -37,19 +37,32 @@
 
 /**
  * Gives pending orders a fencing number of this term, one load at a time as the weight store has room, and posts those
- * that have one. Nothing is posted unless a majority was heard within the order's lifetime, so no order outlives this
- * leader's time by more than that.
+ * that have one.
  */
 private fun ControlStep.carryOrders() {
     val term = state.replica.term
     val pending = state.control.orders.filterValues { it.isPending }
     pending.filterValues { it.fencing?.term != term }.let(::issueOrders)
-    val contact = state.replica.majorityContact ?: return
-    val lifetime = ORDER_LIFETIME_MILLISECONDS - (now - contact)
-    if (lifetime < MINIMUM_ORDER_LIFETIME_MILLISECONDS) return
+    if (orderExpiry(state, term, now, wallTime) == null) return
     pending
         .filterValues { it.fencing?.term == term && it.status == OrderStatus.ISSUED }
-        .forEach { (upstream, record) -> post(upstream, record, wallTime + lifetime) }
+        .forEach { (upstream, record) -> post(upstream, record) }
+}
+
+/**
+ * The wall time at which an order that is posted now expires, or null when none may be posted: the replica does not lead
+ * [term], or heard its majority too long ago. No order outlives the leader's last contact by more than its lifetime.
+ */
+internal fun orderExpiry(
+    state: ProcessState,
+    term: Long,
+    now: Long,
+    wallTime: Long,
+): Long? {
+    val replica = state.replica
+    val contact = replica.majorityContact?.takeIf { replica.role == ReplicaRole.LEADER && replica.term == term }
+    val lifetime = ORDER_LIFETIME_MILLISECONDS - (now - (contact ?: return null))
+    return if (lifetime < MINIMUM_ORDER_LIFETIME_MILLISECONDS) null else wallTime + lifetime
 }
 
 private fun ControlStep.issueOrders(orders: Map<String, OrderRecord>) {
@@ -65,7 +78,6 @@
 private fun ControlStep.post(
     upstream: String,
     record: OrderRecord,
-    expiresAtWallTime: Long,
 ) {
     val fencing = record.fencing ?: return
     val known = state.orderAttempts[upstream]?.takeIf { it.fencing == fencing }
@@ -77,7 +89,7 @@
     val attempt = known?.copy(inFlight = true) ?: OrderAttempt(fencing, firstAt = now, inFlight = true)
     state = state.copy(orderAttempts = state.orderAttempts.put(upstream, attempt))
     record(ControlEventCode.ORDER_POSTED, "upstream" to upstream, "fencing" to fencing, "order" to record.order.words())
-    emit(ControlEffect.PostOrder(upstream, address, record.order, fencing, expiresAtWallTime))
+    emit(ControlEffect.PostOrder(upstream, address, record.order, fencing))
 }
 
 /** An engine that is away gets the order again; one that keeps refusing it ends the order. */
--- a/control/src/main/kotlin/hawthorncrank/control/internal/OrderClient.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/OrderClient.kt
@@ -14,9 +14,12 @@
 
 /**
  * Carries orders to engines: reads the engine's version, then posts the order bound to that version, so that an order
- * that arrives late or twice finds another version and is refused.
+ * that arrives late or twice finds another version and is refused. [expiry] gives the wall time at which an order of a
+ * term expires if it is posted now, or null when it may not be posted; it is asked after the version is read, because a
+ * slow answer would use up the order's short life.
  */
 internal class OrderClient(
+    private val expiry: (Long) -> Long?,
     private val send: (ControlEvent) -> Unit,
 ) {
     private val client =
@@ -53,11 +56,13 @@
         address: String,
         effect: ControlEffect.PostOrder,
         version: Long,
-    ): Mono<OrderAnswer> =
-        client
+    ): Mono<OrderAnswer> {
+        val expiresAt =
+            expiry(effect.fencing.term) ?: return Mono.just(OrderAnswer.Unreachable("no majority in contact"))
+        return client
             .post()
             .uri("$address/admin/orders")
-            .send(ByteBufMono.fromString(Mono.just(json(effect, version))))
+            .send(ByteBufMono.fromString(Mono.just(json(effect, version, expiresAt))))
             .responseSingle { response, body ->
                 body.text().map { text ->
                     val status = response.status().code()
@@ -71,10 +76,12 @@
                     }
                 }
             }
+    }
 
     private fun json(
         effect: ControlEffect.PostOrder,
         version: Long,
+        expiresAt: Long,
     ): String {
         val (order, value) =
             when (val order = effect.order) {
@@ -88,7 +95,7 @@
             put("fencing_term", effect.fencing.term)
             put("fencing_index", effect.fencing.index)
             put("expected_version", version)
-            put("expires_at", effect.expiresAtWallTime)
+            put("expires_at", expiresAt)
         }.toString()
     }
 
