--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/SpeedState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/SpeedState.kt
@@ -2,7 +2,8 @@
 
 /**
  * An engine's token interval against the median of its peers. An engine that is too slow for some seconds gets a tenth
- * of its work; once it keeps pace again it returns in steps, each after the same time.
+ * of its work; once it keeps pace again it returns in steps, each after the same time. Single intervals need no
+ * smoothing, because one that keeps pace starts the time anew.
  */
 internal data class SpeedState(
     val interval: Double? = null,
@@ -14,11 +15,7 @@
     fun observe(
         interval: Double,
         now: Long,
-    ): SpeedState {
-        val known = this.interval
-        val fresh = known == null || now - intervalAt > STALE_MILLISECONDS
-        return copy(interval = if (fresh) interval else known!! + (interval - known) * GAIN, intervalAt = now)
-    }
+    ): SpeedState = copy(interval = interval, intervalAt = now)
 
     fun judge(
         peers: Double?,
@@ -42,7 +39,6 @@
         private val STEPS = listOf(0.1, 0.3, 1.0)
         private const val SLOW_RATIO = 3.0
         private const val PATIENCE_MILLISECONDS = 5_000L
-        private const val GAIN = 0.3
 
         /** An interval this old says nothing about the engine now. */
         const val STALE_MILLISECONDS = 10_000L
