--- a/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
@@ -86,13 +86,17 @@
     val suspect: Boolean = false,
 )
 
-/** Asks for an upstream. [preemptableTier] gives the lowest tier that the entry could preempt on an upstream. */
+/**
+ * Asks for an upstream. [preemptableTier] gives the lowest tier that the entry could preempt on an upstream. A slow
+ * upstream is chosen only if [likelyTokens] would end in time at its pace.
+ */
 class RoutingQuestion(
     val work: QueuedWork,
     val tier: Int,
     val capacity: CapacityKind,
     val constraint: PlacementConstraint = PlacementConstraint(),
     val preemptableTier: (String) -> Int? = { null },
+    val likelyTokens: Int? = null,
 )
 
 /** [isolated] asks for an engine with no other suspect and the least other work. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/RouterPlacement.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RouterPlacement.kt
@@ -25,7 +25,15 @@
     now: Long,
 ): PlacementAnswer<Router> {
     val work = question.work
-    val asked = RoutingQuestion(work, question.tier, question.capacity, constraint, question.preemptableTier)
+    val asked =
+        RoutingQuestion(
+            work,
+            question.tier,
+            question.capacity,
+            constraint,
+            question.preemptableTier,
+            question.likelyTokens,
+        )
     return when (val answer = router.place(asked, now)) {
         is RoutingAnswer.Chosen -> {
             val attempt =
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
@@ -33,13 +33,19 @@
         for (distance in Distance.entries) {
             if (distance == Distance.ELSEWHERE && !mayLeaveRegion(candidates)) continue
             val (normal, slow) = candidates.at(distance).partition { state.factor(upstream(it)) >= 1.0 }
-            val chosen = among(normal) ?: among(slow) ?: continue
+            val chosen = among(normal) ?: among(slow.filter(::endsInTime)) ?: continue
             return chosen
         }
         val excludedAll = candidates.all.all { it in question.constraint.excluded }
         return if (excludedAll) RoutingAnswer.ConstraintUnmet else RoutingAnswer.NoRoom
     }
 
+    private fun endsInTime(name: String): Boolean {
+        val finishBy = work.finishBy ?: return true
+        val interval = upstream(name).speed.interval ?: return true
+        return now + interval * (question.likelyTokens ?: 0) <= finishBy
+    }
+
     private fun among(names: List<String>): RoutingAnswer? {
         if (names.isEmpty()) return null
         return withFreeRoom(names) ?: aboveLowerTiers(names)
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Dispatching.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Dispatching.kt
@@ -140,8 +140,8 @@
     ): PlacementAnswer<Routing> {
         steps++
         val preemptable: (String) -> Int? = if (state.policy.preemption) state::preemptableTier else { _ -> null }
-        val question = PlacementQuestion(work, state.tier(work.className), capacity, preemptable)
-        return placement.place(routing, question)
+        val tier = state.tier(work.className)
+        return placement.place(routing, PlacementQuestion(work, tier, capacity, preemptable, state.likelyTokens(work)))
     }
 
     private fun start(
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/SchedulerState.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/SchedulerState.kt
@@ -68,6 +68,10 @@
         return minOf(finishBy - fastest, maxOf(finishBy - CAUTION * cautious, trial))
     }
 
+    /** A length that nearly all answers of the work's kind stay below, or null before any has ended. */
+    fun likelyTokens(work: QueuedWork): Int? =
+        estimates.quantile(member(work), CAUTIOUS_QUANTILE)?.let { minOf(it, work.maximumTokens ?: it) }
+
     private fun duration(
         work: QueuedWork,
         quantile: Double,
