--- /dev/null
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/LifecycleTest.kt
@@ -0,0 +1,85 @@
+package hawthorncrank.entry.core
+
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.EntryToControl
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Guards graceful stops, explanations and measurements. */
+class LifecycleTest {
+    @Test
+    fun `a stop turns readiness first and finishes what waits and runs before it ends`() {
+        val scenario = Scenario(listOf(engine("e1", slots = 1)))
+        val started = (1L..6L).flatMap { scenario.model(it).starts() }
+        assertTrue(started.size < 6)
+        val stop = scenario.send(EntryEvent.StopRequested)
+        assertFalse(stop.of<EntryEffect.ReadinessChanged>().single().ready)
+        assertEquals(Refusal.Stopping, scenario.model(7).refusal())
+        val running = ArrayDeque(started)
+        var terminations = 0
+        var answered = 0
+        while (running.isNotEmpty()) {
+            val next = running.removeFirst()
+            val ended = scenario.end(next.attemptNumber, whole())
+            running.addAll(ended.starts())
+            answered++
+            val delivered = scenario.send(EntryEvent.AnswerDelivered(next.requestNumber))
+            running.addAll(delivered.starts())
+            terminations += delivered.of<EntryEffect.Terminate>().size
+        }
+        assertEquals(6 to 1, answered to terminations)
+    }
+
+    @Test
+    fun `a stop waits for outcome records but not for ever`() {
+        val scenario = Scenario()
+        val start = scenario.grantedOrder(1)
+        scenario.send(EntryEvent.StopRequested)
+        scenario.end(start.attemptNumber, AttemptEnd.Completed(200, 0, 0, null))
+        scenario.pass(2_000)
+        assertEquals(emptyList(), scenario.send(EntryEvent.AnswerDelivered(1)).of<EntryEffect.Terminate>())
+        assertEquals(emptyList(), scenario.pass(9_000).of<EntryEffect.Terminate>())
+        assertEquals(1, scenario.pass(2_000).of<EntryEffect.Terminate>().size)
+    }
+
+    @Test
+    fun `decisions on the newest requests are explained and old ones are forgotten`() {
+        val scenario = Scenario()
+        scenario.model(1)
+        val lines = explain(scenario, "a-1")
+        assertTrue(lines.any { "arrived" in it } && lines.any { "was sent to" in it }, lines.toString())
+        assertEquals(lines, explain(scenario, "1"))
+        scenario.send(EntryEvent.StopRequested)
+        (2L..10_001L).forEach { scenario.model(it) }
+        assertEquals(emptyList(), explain(scenario, "1"))
+        assertTrue(explain(scenario, "2").isNotEmpty())
+        assertEquals(emptyList(), explain(scenario, "unknown"))
+    }
+
+    private fun explain(
+        scenario: Scenario,
+        request: String,
+    ): List<String> {
+        val effects = scenario.control(ControlToEntry.ExplainQuestion(3, request))
+        return effects.toControl<EntryToControl.ExplainAnswer>().single().lines
+    }
+
+    @Test
+    fun `attainment compares the whole answer with the targets of its class`() {
+        val results =
+            listOf(1_000L, 3_000L).map { delay ->
+                val scenario = Scenario()
+                val start = scenario.model(1).start()
+                scenario.now += delay
+                scenario.send(EntryEvent.AttemptFirstByte(start.attemptNumber))
+                scenario.end(start.attemptNumber, whole())
+                val measured = scenario.send(EntryEvent.AnswerDelivered(1)).of<EntryEffect.Measure>()
+                assertIs<Measurement.RequestEnded>(measured.single().measurement)
+            }
+        assertEquals(listOf(true, false), results.map { it.attained })
+        assertEquals(listOf<Long?>(1_000, 3_000), results.map { it.firstByte })
+    }
+}
--- /dev/null
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/MembershipTest.kt
@@ -0,0 +1,90 @@
+package hawthorncrank.entry.core
+
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.ZoneMessage
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Guards against work for upstreams that leave, are drained, unlisted, dead or silent. */
+class MembershipTest {
+    private val both = setOf("e1", "e2")
+
+    private fun startedOn(
+        scenario: Scenario,
+        numbers: LongRange = 100L..119L,
+    ) = numbers.flatMap { scenario.model(it).starts() }.map { it.upstream }.toSet()
+
+    @Test
+    fun `every kind of mark stops new work at once and leaves work in flight alone`() {
+        val marks =
+            listOf<(Scenario) -> List<EntryEffect>>(
+                { it.send(EntryEvent.MembershipReported(both, leaving = setOf("e1"))) },
+                { it.send(EntryEvent.MembershipReported(setOf("e2"), leaving = emptySet())) },
+                { it.control(ControlToEntry.DrainUpdate(1, listOf("e1"))) },
+                { it.zone(ZoneMessage.LeavingNotice("b", "e1")) },
+            )
+        marks.forEach { mark ->
+            val scenario = Scenario()
+            scenario.model(1)
+            scenario.model(2)
+            assertEquals(emptyList(), mark(scenario).of<EntryEffect.CancelAttempt>())
+            assertEquals(setOf("e2"), startedOn(scenario))
+        }
+    }
+
+    @Test
+    fun `a leaving mark of the platform is passed on to the zone`() {
+        val reported = Scenario().send(EntryEvent.MembershipReported(both, leaving = setOf("e1")))
+        assertEquals(listOf("e1"), reported.toZone<ZoneMessage.LeavingNotice>().map { it.upstream })
+    }
+
+    @Test
+    fun `three connect failures exclude an upstream and probes back off until it answers`() {
+        val scenario = Scenario(listOf(engine("e1"), service("s1")))
+        val first = scenario.model(1).start()
+        val second = scenario.end(first.attemptNumber, AttemptEnd.NotConnected).start()
+        val third = scenario.end(second.attemptNumber, AttemptEnd.Silent(SilencePhase.CONNECT, 0, 0)).start()
+        assertEquals(emptyList(), scenario.end(third.attemptNumber, AttemptEnd.NotConnected).starts())
+        val began = scenario.now
+        val probes = mutableListOf<Long>()
+        while (scenario.now < began + 100_000) {
+            scenario.pass(100).of<EntryEffect.ProbeUpstream>().forEach {
+                probes.add(scenario.now - began)
+                scenario.send(EntryEvent.ProbeAnswered(it.upstream, reachable = false))
+            }
+        }
+        assertEquals(listOf<Long>(1_000, 3_000, 7_000, 15_000, 31_000, 61_000, 91_000), probes)
+        scenario.send(EntryEvent.ProbeAnswered("e1", reachable = true))
+        assertEquals(setOf("e1"), startedOn(scenario))
+    }
+
+    @Test
+    fun `a silent upstream gets no work until a probe is answered`() {
+        val scenario = Scenario()
+        val start = scenario.model(1).start()
+        scenario.end(start.attemptNumber, AttemptEnd.Silent(SilencePhase.FIRST_BYTE, 0, 0))
+        assertEquals(both - start.upstream, startedOn(scenario, 100L..104L))
+        assertEquals(
+            start.upstream,
+            scenario
+                .pass(1_000)
+                .of<EntryEffect.ProbeUpstream>()
+                .single()
+                .upstream,
+        )
+        scenario.send(EntryEvent.ProbeAnswered(start.upstream, reachable = true))
+        assertTrue(start.upstream in startedOn(scenario, 200L..219L))
+    }
+
+    @Test
+    fun `a request waits for an upstream to come back and is then told that there is none`() {
+        val scenario = Scenario(listOf(engine("e1"), service("s1")))
+        scenario.send(EntryEvent.MembershipReported(setOf("s1"), emptySet()))
+        assertEquals(emptyList(), scenario.model(1).of<EntryEffect.RefuseCaller>())
+        val waited = scenario.pass(10_000)
+        assertIs<Refusal.NoUpstream>(waited.refusal())
+        assertTrue(waited.starts().isEmpty())
+    }
+}
--- /dev/null
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RetriesTest.kt
@@ -0,0 +1,114 @@
+package hawthorncrank.entry.core
+
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Guards whole answers and bounded retries. */
+class RetriesTest {
+    @Test
+    fun `a stream that breaks before its first byte starts again elsewhere`() {
+        val scenario = Scenario()
+        val first = scenario.model(1).start()
+        val second = scenario.end(first.attemptNumber, AttemptEnd.Silent(SilencePhase.FIRST_BYTE, 0, 0)).start()
+        assertTrue(second.upstream != first.upstream && second.attemptNumber != first.attemptNumber)
+    }
+
+    @Test
+    fun `a stream that breaks after its first byte ends with an error`() {
+        val scenario = Scenario()
+        val start = scenario.model(1).start()
+        scenario.send(EntryEvent.AttemptFirstByte(start.attemptNumber))
+        val ended = scenario.end(start.attemptNumber, broken(bytes = 40))
+        assertEquals(1, ended.of<EntryEffect.BreakStream>().single().requestNumber)
+        assertEquals(emptyList(), ended.starts())
+    }
+
+    @Test
+    fun `a broken stream resumes on the same engine where the engine supports it`() {
+        val scenario = Scenario(listOf(engine("e1", resumes = true), engine("e2", resumes = true)))
+        val start = scenario.model(1).start()
+        scenario.send(EntryEvent.AttemptFirstByte(start.attemptNumber))
+        val resumed = scenario.end(start.attemptNumber, broken(bytes = 40)).start()
+        assertEquals(ResumePoint(start.attemptNumber, 40), resumed.resume)
+        assertEquals(start.upstream, resumed.upstream)
+        val failed = scenario.end(resumed.attemptNumber, AttemptEnd.NotConnected)
+        assertEquals(1, failed.of<EntryEffect.BreakStream>().size)
+    }
+
+    @Test
+    fun `retries stop when the budget is used up`() {
+        val scenario = Scenario((1..20).map { engine("e$it") })
+        val outcomes =
+            (1L..6L).map { number ->
+                val start = scenario.model(number).start()
+                scenario.end(start.attemptNumber, AttemptEnd.NotBegun(500))
+            }
+        assertEquals(3, outcomes.count { it.starts().isNotEmpty() })
+        assertIs<Refusal.Overloaded>(outcomes.last().refusal())
+        scenario.now += 11_000
+        val later = scenario.model(9).start()
+        assertEquals(1, scenario.end(later.attemptNumber, AttemptEnd.NotBegun(500)).starts().size)
+    }
+
+    @Test
+    fun `a refusal after an attempt that may have run does not say not run`() {
+        val scenario = Scenario(listOf(engine("e1")))
+        val silent = AttemptEnd.Silent(SilencePhase.FIRST_BYTE, 0, 0)
+        var effects = scenario.end(scenario.model(1).start().attemptNumber, silent)
+        while (effects.of<EntryEffect.RefuseCaller>().isEmpty()) {
+            scenario.pass(1_000)
+            val returned = scenario.send(EntryEvent.ProbeAnswered("e1", reachable = true))
+            effects = scenario.end(returned.start().attemptNumber, silent)
+        }
+        assertEquals(StatedOutcome.UNKNOWN, effects.refusal().outcome)
+    }
+
+    @Test
+    fun `reports on a cancelled attempt count as waste and change nothing`() {
+        val scenario = Scenario()
+        val start = scenario.model(1).start()
+        val left = scenario.send(EntryEvent.CallerLeft(1))
+        assertEquals(CancelReason.CALLER_LEFT, left.of<EntryEffect.CancelAttempt>().single().reason)
+        val ended = scenario.end(start.attemptNumber, whole())
+        val wasted = ended.of<EntryEffect.Measure>().map { it.measurement }
+        assertEquals(Measurement.TokensWasted("quick", 10, CancelReason.CALLER_LEFT), wasted.single())
+        assertEquals(emptyList(), scenario.end(start.attemptNumber, whole()))
+    }
+
+    @Test
+    fun `the time left and the silence bounds go with the attempt`() {
+        val scenario = Scenario()
+        val start = scenario.model(1, finishBy = scenario.now + 60_000).start()
+        assertEquals(60_000, start.deadlineMilliseconds)
+        assertEquals(SilenceTimeouts(1_000, 10_000, 10_000), start.timeouts)
+        assertNull(start.resume)
+        val slowClass = trafficClass("quick", 1).copy(firstToken = hawthorncrank.common.Milliseconds(5_000))
+        val patient = Scenario(classes = listOf(slowClass)).model(1).start()
+        assertEquals(20_000, patient.timeouts.firstByte)
+    }
+
+    @Test
+    fun `an attempt without a first byte is cancelled when its deadline has passed`() {
+        val scenario = Scenario()
+        scenario.model(1, finishBy = scenario.now + 30_000)
+        val passed = scenario.pass(30_000)
+        assertEquals(CancelReason.DEADLINE, passed.of<EntryEffect.CancelAttempt>().single().reason)
+        assertEquals(StatedOutcome.UNKNOWN, passed.refusal().outcome)
+    }
+
+    @Test
+    fun `a first byte that crossed a preemption is never followed by another attempt`() {
+        val scenario = Scenario(listOf(engine("e1", slots = 1)))
+        // Each class also owns a floor slot, so that the shared slot is contested only by the third and later ones.
+        val started = (1L..2L).flatMap { scenario.model(it, className = "patient").starts() }
+        val pushed = (3L..5L).flatMap { scenario.model(it, className = "quick") }.of<EntryEffect.CancelAttempt>()
+        val preempted = pushed.single { it.reason == CancelReason.PREEMPTED }
+        val number = started.single { it.attemptNumber == preempted.attemptNumber }.requestNumber
+        val crossed = scenario.send(EntryEvent.AttemptFirstByte(preempted.attemptNumber))
+        assertEquals(number, crossed.of<EntryEffect.BreakStream>().single().requestNumber)
+        assertTrue((crossed + scenario.pass(5_000)).starts().none { it.requestNumber == number })
+    }
+}
