Stage changes sent as deltas and start no attempts before the leaving marks are known

It now waits for the first list, at most 2 s, and neighbours repeat the marks to an entry that asks for a configuration; drain orders are among them.

Control sends changes as deltas since the last merge; a change is staged on a base that the entry holds, and the whole is asked for otherwise.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
@@ -88,7 +88,10 @@
         val reason: String,
     ) : EntryEffect
 
-    /** Nothing is in flight after a requested stop. */
+    /**
+     * Nothing is in flight after a requested stop. The process refuses requests that it has not handed over yet with
+     * [Refusal.Stopping] and flushes what it has written before it exits.
+     */
     data object Terminate : EntryEffect
 
     data class RecordEvent(
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
@@ -2,6 +2,8 @@
 
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.ConfigurationDelta
+import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ZoneMessage
 
 /**
@@ -33,6 +35,26 @@
     applyDueVersions()
 }
 
+/** Stages a version that control sent as a change. The whole is asked for where the change does not fit. */
+internal fun Reduction.stageChange(
+    delta: ConfigurationDelta,
+    confirmed: Boolean,
+) {
+    val known = state.configuration.held(delta.version)
+    val base = state.configuration.held(delta.baseVersion)
+    when {
+        delta.version <= state.configuration.version -> ignoreLower(delta.version)
+        known != null -> stage(delta.version, known, confirmed)
+        base != null -> stage(delta.version, delta.applyTo(base), confirmed)
+        else -> greetControl()
+    }
+}
+
+internal fun Reduction.greetControl() {
+    val version = state.configuration.version
+    emit(EntryEffect.SendToControl(EntryToControl.EntryHello(settings.name, settings.availabilityZone, version)))
+}
+
 private fun Reduction.ignoreLower(version: Long) {
     if (version < state.configuration.version) {
         record(
@@ -58,6 +80,8 @@
 
 internal fun Reduction.configurationAsked(question: ZoneMessage.ConfigurationQuestion) {
     val current = state.configuration
+    // The neighbour may just have started and know none of the marks.
+    sendLeavingNotices(question.entry)
     // An entry that has not started yet has no memory of what was in force and must not vouch for a version.
     if (!current.inForce) return
     val held = current.held
@@ -125,6 +149,7 @@
         it.copy(
             version = version,
             configuration = newConfiguration,
+            startedAt = it.startedAt ?: now,
             staged =
                 it.staged.keys
                     .filter { staged ->
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -35,6 +35,7 @@
 private fun Reduction.controlMessageReceived(message: ControlToEntry) {
     when (message) {
         is ControlToEntry.ConfigurationUpdate -> stage(message.version, message.configuration, message.confirmed)
+        is ControlToEntry.ConfigurationChange -> stageChange(message.delta, message.confirmed)
         is ControlToEntry.ClaimAnswer -> claimAnswered(message)
         is ControlToEntry.OutcomeRecorded -> outcomeRecorded(message.claimNumber)
         is ControlToEntry.ClaimAbandoned -> claimAbandoned(message.attemptIdentifier)
@@ -57,8 +58,7 @@
 
 private fun Reduction.controlLinkOpened() {
     state = state.copy(controlLink = ControlLink(open = true, number = state.controlLink.number + 1))
-    val version = state.configuration.version
-    emit(EntryEffect.SendToControl(EntryToControl.EntryHello(settings.name, settings.availabilityZone, version)))
+    greetControl()
     resendClaims()
     reportConvictionsAgain()
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -109,15 +109,30 @@
     if (expired.isNotEmpty()) {
         membership { it.copy(noticedLeaving = expired.fold(it.noticedLeaving) { map, key -> map.remove(key) }) }
     }
-    if (membership.leaving.isNotEmpty() && now - membership.noticesSentAt >= NOTICE_REPEAT_MILLISECONDS) {
+    if (now - membership.noticesSentAt >= NOTICE_REPEAT_MILLISECONDS) {
         membership { it.copy(noticesSentAt = now) }
-        membership.leaving.filter { upstream(it) != null }.forEach {
-            emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, it)))
-        }
+        sendLeavingNotices()
     }
     membership.observed.forEach { (name, observation) -> observation.excluded?.let { probe(name, observation, it) } }
 }
 
+/** Tells the zone, or one neighbour, which upstreams the platform or operators mark. */
+internal fun Reduction.sendLeavingNotices(recipient: String? = null) {
+    (state.membership.leaving + state.membership.drained).filter { upstream(it) != null }.forEach {
+        emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, it), recipient))
+    }
+}
+
+/**
+ * An entry that has just started knows no leaving marks. It starts no attempts before the platform's list arrives; where
+ * no list comes, it goes on without it after two polling periods.
+ */
+internal fun Reduction.awaitsMembership(): Boolean {
+    val startedAt = state.configuration.startedAt ?: return true
+    return state.membership.live == null && now - startedAt < FIRST_LIST_MILLISECONDS &&
+        rules.leavingUpstreamsGetNothing
+}
+
 private fun Reduction.probe(
     name: String,
     observation: Observation,
@@ -164,3 +179,4 @@
 // The platform's list reaches an entry every second and lags by some more. Senders repeat a notice while it holds.
 private const val NOTICE_KEPT_MILLISECONDS = 30_000L
 private const val NOTICE_REPEAT_MILLISECONDS = 5_000L
+private const val FIRST_LIST_MILLISECONDS = 2_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
@@ -35,7 +35,7 @@
 
 /** Starts what can start after this event. */
 internal fun Reduction.startWaiting() {
-    if (!state.configuration.inForce || state.scheduler.view.queuedRequests == 0) return
+    if (awaitsMembership() || state.scheduler.view.queuedRequests == 0) return
     val contents =
         state.attempts.running.values
             .map { PlacedContent(it.contentDigest, it.upstream) }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -45,6 +45,7 @@
     active: ActiveRequest,
     refusal: Refusal,
 ) {
+    if (active.number !in state.requests.active) return
     if (active.waiting) giveUpClaim(active)
     val stated = if (active.mayHaveRun && rules.refusalsStateTheTruth) refusal.afterAttempt() else refusal
     explain(active.number, "was refused with status ${stated.status}: ${stated.problem}")
@@ -57,6 +58,7 @@
     active: ActiveRequest,
     reason: String,
 ) {
+    if (active.number !in state.requests.active) return
     explain(active.number, "ended with an error after its answer had begun: $reason")
     emit(EntryEffect.BreakStream(active.number, reason))
     finish(active, RequestResult.INTERRUPTED)
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationStagingTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationStagingTest.kt
@@ -1,7 +1,11 @@
 package hawthorncrank.entry.core
 
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.WeightStore
 import hawthorncrank.protocol.ZoneMessage
+import hawthorncrank.protocol.canonical
+import hawthorncrank.protocol.configurationDelta
 import org.junit.jupiter.api.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -58,6 +62,25 @@
         assertEquals(emptyList(), scenario.pass(5_000).appliedVersions())
     }
 
+    @Test
+    fun `a change is staged on its base and the whole is asked for where the base is missing`() {
+        val scenario = Scenario(zoneEntries = listOf("a"))
+        val next = scenario.configuration.copy(weightStore = WeightStore(loadsPerMinute = 9))
+        val fits = configurationDelta(5, scenario.configuration.canonical(), 6, next.canonical())
+        val applied = scenario.control(ControlToEntry.ConfigurationChange(fits, confirmed = false))
+        val inForce = applied.of<EntryEffect.ConfigurationApplied>().single().configuration
+        assertEquals(next.canonical(), inForce.canonical())
+        val change = ControlToEntry.ConfigurationChange(fits.copy(baseVersion = 8, version = 9), confirmed = true)
+        assertEquals(
+            6,
+            scenario
+                .control(change)
+                .toControl<EntryToControl.EntryHello>()
+                .single()
+                .appliedVersion,
+        )
+    }
+
     @Test
     fun `a lower version is never applied`() {
         val scenario = Scenario(zoneEntries = listOf("a"))
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/EntryNode.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/EntryNode.kt
@@ -24,6 +24,7 @@
     val submissions = mutableMapOf<Long, Submission>()
     private val exchanges = mutableMapOf<Long, Exchange>()
     private val delivered = mutableMapOf<Long, Long>()
+    private val unseen = mutableSetOf<Long>()
     private val held = mutableMapOf<Long, Chunk>()
     private var nextRequest = 1L
     private var linked = false
@@ -42,6 +43,7 @@
 
     fun send(event: EntryEvent) {
         if (!alive) return
+        if (event is EntryEvent.RequestArrived) unseen.remove(event.request.number)
         val transition = reducer.reduce(state, event, simulation.now)
         state = transition.state
         transition.effects.forEach { if (alive) carryOut(it) }
@@ -57,6 +59,7 @@
         val number = nextRequest++
         val submission = Submission(caller, this, number)
         submissions[number] = submission
+        unseen.add(number)
         caller.submissions.add(submission)
         fleet.submissions.add(submission)
         report(EntryEvent.RequestArrived(caller.request(number)))
@@ -217,6 +220,8 @@
     }
 
     private fun terminated() {
+        // The contract of Terminate: requests that the reducer has not seen are refused by the process.
+        unseen.forEach { submissions.getValue(it).finish(Final.Refused(Refusal.Stopping)) }
         submissions.values.filterNot { it.closed }.forEach {
             fleet.violations.add("a graceful stop of $name cut off request ${it.number}")
         }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/FakeControl.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/FakeControl.kt
@@ -7,6 +7,8 @@
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.Conviction
 import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.canonical
+import hawthorncrank.protocol.configurationDelta
 
 /**
  * A control group with one linear history. Without [majority] it answers some claims with Unavailable and decides the
@@ -20,7 +22,7 @@
 ) {
     var version = 1L
         private set
-    var configuration = first
+    var configuration = first.canonical()
         private set
     private val holders = mutableMapOf<ClaimKey, Holder>()
     private val convictions = mutableMapOf<String, Conviction>()
@@ -35,9 +37,14 @@
 
     fun commit(change: (Configuration) -> Configuration) =
         whenCommitted {
-            configuration = change(configuration)
-            version++
-            fleet.entries.forEach { it.fromControl(currentConfiguration()) }
+            val base = configuration
+            configuration = change(base).canonical()
+            val delta = configurationDelta(version, base, ++version, configuration)
+            fleet.entries.forEach { it.fromControl(ControlToEntry.ConfigurationChange(delta, confirmed = false)) }
+            simulation.after(60) {
+                val confirmed = ControlToEntry.ConfigurationChange(delta, confirmed = true)
+                if (majority && version == delta.version) fleet.entries.forEach { it.fromControl(confirmed) }
+            }
         }
 
     private fun whenCommitted(action: () -> Unit) {
@@ -48,7 +55,6 @@
         ControlToEntry.ConfigurationUpdate(version, configuration, confirmed = majority)
 
     fun linkOpened(entry: EntryNode) {
-        entry.fromControl(currentConfiguration())
         entry.fromControl(ControlToEntry.ConvictionUpdate(revision, convictions.values.toList()))
     }
 
@@ -96,6 +102,8 @@
 
             is EntryToControl.SuspectReport -> if (message.convicted) whenCommitted { convict(message) }
 
+            is EntryToControl.EntryHello -> entry.fromControl(currentConfiguration())
+
             else -> Unit
         }
     }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/MembershipTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/MembershipTest.kt
@@ -78,6 +78,16 @@
         assertTrue(start.upstream in startedOn(scenario, 200L..219L))
     }
 
+    @Test
+    fun `a new entry starts nothing before it knows the leaving marks`() {
+        val scenario = Scenario(started = false)
+        scenario.send(EntryEvent.ControlLinkOpened)
+        scenario.control(ControlToEntry.ConfigurationUpdate(5, scenario.configuration, confirmed = true))
+        assertEquals(emptyList(), (scenario.model(1) + scenario.pass(1_000)).starts())
+        val listed = scenario.send(EntryEvent.MembershipReported(both, leaving = setOf("e1")))
+        assertEquals("e2", listed.start().upstream)
+    }
+
     @Test
     fun `a request waits for an upstream to come back and is then told that there is none`() {
         val scenario = Scenario(listOf(engine("e1"), service("s1")))
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/Scenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/Scenario.kt
@@ -30,6 +30,7 @@
         if (started) {
             send(EntryEvent.ControlLinkOpened)
             control(ControlToEntry.ConfigurationUpdate(5, configuration, confirmed = true))
+            send(EntryEvent.MembershipReported(upstreams.map { it.name }.toSet(), leaving = emptySet()))
         }
     }
 
