--- a/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistory.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistory.kt
@@ -27,10 +27,8 @@
                 pipelineMessages = 3,
             )
         }
-    var lostDisks = 0
-        private set
-    var changes = 0
-        private set
+    private var lostDisks = 0
+    private val changes get() = group.administrativeAnswers.values.count { it is TicketAnswer.Committed } - 1
     private val random = group.random
     private val names = group.replicas.keys.toList()
     private var faulty = true
@@ -46,7 +44,7 @@
         heal()
         if (!group.run(RECOVERY, until = group::isHealthy)) throw Violation("no recovery: ${describe()}")
         val waiting =
-            group.checker.membership.voters
+            group.voters
                 .map { it.name }
                 .toMutableSet()
         proposeUntilCommitted(waiting)
@@ -59,8 +57,7 @@
         val tickets = waiting.associateWith { group.propose(it) }
         group.after(1_000) {
             val voters =
-                group.checker.membership.voters
-                    .map { it.name }
+                group.voters.map { it.name }
             waiting.removeIf { it !in voters || tickets.getValue(it) in group.checker.committedTickets }
             if (waiting.isNotEmpty()) proposeUntilCommitted(waiting)
         }
@@ -94,49 +91,26 @@
 
     private fun inject() {
         val name = if (random.nextInt(3) == 0) group.leader?.name ?: names.random(random) else names.random(random)
+        val everything = names.flatMap { listOf(it to name, name to it) }
         when (random.nextInt(11)) {
-            0, 1 -> {
-                group.crash(name)
-                restartLater(name)
-            }
-
-            2, 3 -> {
-                loseDisk(name)
-            }
-
-            4 -> {
-                cutLater(List(random.nextInt(1, 4)) { names.random(random) to names.random(random) }, 5_000)
-            }
-
-            5 -> {
-                cutLater(names.flatMap { listOf(it to name, name to it) }, 15_000)
-            }
-
-            6 -> {
-                names.forEach(group::crash)
-                names.forEach(::restartLater)
-            }
-
-            7 -> {
-                group.stall(name, random.nextLong(100, 6_000))
-            }
-
-            8 -> {
-                // A leader that cannot notice the time and is cut off is the one that might answer stale reads.
-                group.stallTimer(name, random.nextLong(100, 8_000))
-                cutLater(names.flatMap { listOf(it to name, name to it) }, 8_000)
-            }
-
-            9 -> {
-                changeMembership()
-            }
-
-            else -> {
-                group.cuts.clear()
-            }
+            0, 1 -> crashAll(listOf(name))
+            2, 3 -> loseDisk(name)
+            4 -> cutLater(List(random.nextInt(1, 4)) { names.random(random) to names.random(random) }, 5_000)
+            5 -> cutLater(everything, 15_000)
+            6 -> crashAll(names)
+            7 -> group.stall(name, random.nextLong(100, 6_000))
+            // A leader that cannot notice the time and is cut off is the one that might answer stale reads.
+            8 -> group.stallTimer(name, random.nextLong(100, 8_000)).also { cutLater(everything, 8_000) }
+            9 -> changeMembership()
+            else -> group.cuts.clear()
         }
     }
 
+    private fun crashAll(crashing: List<String>) {
+        crashing.forEach(group::crash)
+        crashing.forEach(::restartLater)
+    }
+
     private fun restartLater(name: String) = group.after(random.nextLong(10, 4_000)) { group.start(name) }
 
     private fun cutLater(
@@ -152,7 +126,7 @@
      * loss at a time, the next as soon as the replacement is committed.
      */
     private fun loseDisk(name: String) {
-        val voters = group.checker.membership.voters
+        val voters = group.voters
         val others = voters.filter { it.name != name }
         if (others.size == voters.size || others.any { group.checker.isLost(it.identity) }) return
         lostDisks++
@@ -169,13 +143,22 @@
         if (outside.isNotEmpty()) {
             group.loseDisk(outside.first())
             group.start(outside.first())
-            group.deliver(leader, ReplicaEvent.AdmitMember(-group.steps, group.member(outside.first()))) { changes++ }
+            group.deliver(leader, ReplicaEvent.AdmitMember(-group.steps, group.member(outside.first())))
         } else if (membership.voters.size == 4) {
             val identity = membership.voters.random(random).identity
-            group.deliver(leader, ReplicaEvent.RemoveMember(-group.steps, identity)) { changes++ }
+            group.deliver(leader, ReplicaEvent.RemoveMember(-group.steps, identity))
         }
     }
 
+    fun counts(): Map<String, Number> =
+        mapOf(
+            "steps" to group.steps,
+            "records" to group.checker.committed.size,
+            "reads" to group.checker.confirmedReads,
+            "lost disks" to lostDisks,
+            "membership changes" to changes,
+        )
+
     private fun describe(): String =
         group.replicas.values.joinToString { replica ->
             val state = replica.state
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistoryTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistoryTest.kt
@@ -8,11 +8,7 @@
     @Test
     fun `generated histories keep every promise and recover`() {
         val count = System.getProperty("hawthorncrank.histories")?.toLong() ?: DEFAULT_HISTORIES
-        var steps = 0L
-        var records = 0L
-        var reads = 0L
-        var losses = 0L
-        var changes = 0L
+        val totals = mutableMapOf<String, Long>()
         for (seed in 1..count) {
             val history = GeneratedHistory(seed)
             try {
@@ -20,17 +16,10 @@
             } catch (failure: IllegalStateException) {
                 throw AssertionError("seed $seed: ${failure.message}", failure)
             }
-            steps += history.group.steps
-            records += history.group.checker.committed.size
-            reads += history.group.checker.confirmedReads
-            losses += history.lostDisks
-            changes += history.changes
+            history.counts().forEach { (name, value) -> totals.merge(name, value.toLong(), Long::plus) }
         }
-        println(
-            "histories: seeds 1 to $count, $steps steps, " +
-                "$records records, $reads reads, $losses lost disks, $changes changes",
-        )
-        assertTrue(listOf(steps, records, reads, losses, changes).all { it > 0 })
+        println("histories: seeds 1 to $count, $totals")
+        assertTrue(totals.values.all { it > 0 })
     }
 
     private companion object {
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/HistoryChecker.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/HistoryChecker.kt
@@ -96,9 +96,7 @@
                 refusedCommands += command
             }
 
-            is TicketAnswer.Unknown -> {
-                Unit
-            }
+            is TicketAnswer.Unknown -> Unit
         }
     }
 
--- /dev/null
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/MembershipFaultTest.kt
@@ -0,0 +1,132 @@
+package hawthorncrank.consensus
+
+import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.ReplicaMessage
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+
+/** Orders of events that left a replica or a group stuck in generated histories, scripted so that each is always run. */
+class MembershipFaultTest {
+    private fun healthyGroup(names: String): SimulatedGroup {
+        val group = SimulatedGroup(seed = 17, names = names.map { it.toString() })
+        assertTrue(group.run(30_000, until = group::isHealthy))
+        return group
+    }
+
+    private fun SimulatedGroup.settle() = assertTrue(run(30_000, until = ::isHealthy), "${checker.membership}")
+
+    private fun SimulatedGroup.followers() = replicas.keys.filter { it != leader?.name }
+
+    @Test
+    fun `an uncommitted removal of a replica does not keep others from following it`() {
+        val group = healthyGroup("abcde")
+        val former = group.leader!!.name
+        val (holder, subject) = group.followers()
+        val others = group.followers().drop(2)
+        (others + subject).forEach { group.cuts += former to it }
+        group.cuts += holder to former
+        group.deliver(former, ReplicaEvent.RemoveMember(-1, group.member(subject).identity))
+        group.run(100)
+        group.crash(former)
+        group.cuts.clear()
+        group.isolate(holder)
+        others.forEach { group.stallTimer(it, 30_000) }
+        assertTrue(group.run(20_000, until = { group.leader?.name == subject }))
+        group.run(2_000)
+        group.cuts.clear()
+        val holderState = { group.replicas.getValue(holder).state!! }
+        assertTrue(
+            group.run(20_000, until = {
+                holderState().appliedIndex ==
+                    group.checker.committed.size
+                        .toLong()
+            }),
+        )
+        assertEquals(5, group.voters.size)
+        group.start(former)
+        group.settle()
+    }
+
+    @Test
+    fun `a voter whose own removal is uncommitted can still be elected`() {
+        val group = healthyGroup("abcd")
+        val removed = group.leader!!.name
+        group.crash(group.followers().first())
+        group.isolate(removed)
+        group.deliver(removed, ReplicaEvent.RemoveMember(-1, group.member(removed).identity))
+        group.run(4_000)
+        assertNotEquals(
+            ReplicaRole.LEADER,
+            group.replicas
+                .getValue(removed)
+                .state!!
+                .role,
+        )
+        group.cuts.clear()
+        assertTrue(group.run(30_000, until = { group.voters.size == 3 }))
+        assertTrue(group.run(30_000, until = { group.leader != null && group.leader?.name != removed }))
+    }
+
+    @Test
+    fun `a replica whose admission was lost with its leader asks again`() {
+        val group = healthyGroup("abcde")
+        val former = group.leader!!.name
+        val returning = group.followers().first()
+        group.loseDisk(returning)
+        group.run(1_600)
+        group.followers().filter { it != returning }.forEach { group.cuts += setOf(former to it, it to former) }
+        group.start(returning)
+        val admitted = {
+            group.replicas
+                .getValue(returning)
+                .state!!
+                .membership.learners
+                .isNotEmpty()
+        }
+        assertTrue(group.run(1_400, until = admitted))
+        group.crash(former)
+        group.cuts.clear()
+        assertTrue(group.run(30_000, until = { group.leader != null }))
+        assertTrue(
+            group.checker.membership.learners
+                .isEmpty(),
+        )
+        group.start(former)
+        val identity = group.member(returning).identity
+        assertTrue(
+            group.run(30_000, until = { group.voters.any { it.identity == identity } }),
+        )
+        group.settle()
+    }
+
+    @Test
+    fun `a late request to join of an older identity does not shut out the newer one`() {
+        val group = healthyGroup("abc")
+        val returning = group.followers().first()
+        group.loseDisk(returning)
+        val late = ReplicaEnvelope("", group.member(returning), "", 0, ReplicaMessage.JoinRequest)
+        group.loseDisk(returning)
+        group.start(returning)
+        assertTrue(
+            group.run(5_000, until = {
+                group.checker.membership.learners
+                    .isNotEmpty()
+            }),
+        )
+        group.isolate(returning)
+        group.run(1_600)
+        group.deliver(group.leader!!.name, ReplicaEvent.EnvelopeReceived(late))
+        group.run(100)
+        assertEquals(
+            late.sender,
+            group.checker.membership.learners
+                .single()
+                .member,
+        )
+        group.cuts.clear()
+        group.settle()
+        assertTrue(group.member(returning) in group.voters)
+    }
+}
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/ReplicaScenarioTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/ReplicaScenarioTest.kt
@@ -31,9 +31,8 @@
     @Test
     fun `a replica of a group refuses to form another`() {
         val group = healthyGroup()
-        var answer: TicketAnswer? = null
-        group.deliver("b", ReplicaEvent.FormGroup(-1, listOf(group.member("b")))) { answer = it.answer }
-        assertEquals(TicketAnswer.Refused(ReplicaRefusal.ALREADY_FORMED), answer)
+        group.deliver("b", ReplicaEvent.FormGroup(-1, listOf(group.member("b"))))
+        assertEquals(TicketAnswer.Refused(ReplicaRefusal.ALREADY_FORMED), group.administrativeAnswers[-1])
     }
 
     /** Guards against a replica that counts before anyone named it. */
@@ -58,7 +57,7 @@
         }
         group.run(5_000)
         assertEquals(ReplicaRole.UNADMITTED, group.state("d").role)
-        assertEquals(3, group.checker.membership.voters.size)
+        assertEquals(3, group.voters.size)
     }
 
     /** Guards against an isolated replica that forces an election on its return. */
@@ -104,10 +103,7 @@
         group.loseDisk(first)
         group.start(first)
         val identity = group.member(first).identity
-        val replaced = {
-            group.checker.membership.voters
-                .any { it.identity == identity }
-        }
+        val replaced = { group.voters.any { it.identity == identity } }
         assertTrue(group.run(30_000, until = replaced))
         group.loseDisk(second)
         assertTrue(group.run(30_000, until = { group.leader != null && group.leader?.name != second }))
@@ -164,23 +160,18 @@
     @Test
     fun `members are admitted one at a time and the leader can be removed`() {
         val group = healthyGroup(spare = listOf("d", "e"))
-        val answers = mutableListOf<TicketAnswer>()
+        val answers = group.administrativeAnswers
         val leader = group.leader!!.name
-        listOf("d", "e").forEachIndexed { number, name ->
-            val event = ReplicaEvent.AdmitMember(-1L - number, group.member(name))
-            group.deliver(leader, event) { answers += it.answer }
-        }
-        assertEquals(listOf<TicketAnswer>(TicketAnswer.Refused(ReplicaRefusal.CHANGE_IN_PROGRESS)), answers)
-        assertTrue(group.run(20_000, until = { group.checker.membership.voters.size == 4 }))
-        assertIs<TicketAnswer.Committed>(answers.last())
+        group.deliver(leader, ReplicaEvent.AdmitMember(-1, group.member("d")))
+        group.deliver(leader, ReplicaEvent.AdmitMember(-2, group.member("e")))
+        assertEquals(TicketAnswer.Refused(ReplicaRefusal.CHANGE_IN_PROGRESS), answers[-2])
+        assertTrue(group.run(20_000, until = { group.voters.size == 4 }))
+        assertIs<TicketAnswer.Committed>(answers[-1])
         group.run(1_000)
-        group.deliver(leader, ReplicaEvent.RemoveMember(-3, group.member(leader).identity)) { answers += it.answer }
+        group.deliver(leader, ReplicaEvent.RemoveMember(-3, group.member(leader).identity))
         assertTrue(group.run(20_000, until = { group.leader != null && group.leader?.name != leader }))
-        assertIs<TicketAnswer.Committed>(answers.last())
-        assertFalse(
-            group.checker.membership.voters
-                .any { it.name == leader },
-        )
+        assertIs<TicketAnswer.Committed>(answers[-3])
+        assertFalse(group.voters.any { it.name == leader })
         val ticket = group.propose(group.leader!!.name)
         assertTrue(group.run(5_000, until = { ticket in group.checker.committedTickets }))
     }
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -36,6 +36,9 @@
     val cuts = mutableSetOf<Pair<String, String>>()
     val sentMessages = mutableListOf<ReplicaEnvelope>()
     val events = mutableListOf<EventCode>()
+
+    /** Answers to formations and membership changes, which have tickets up to 0. */
+    val administrativeAnswers = mutableMapOf<Long, TicketAnswer>()
     var recordMessages = false
     var lossPercent = 0
     var duplicationPercent = 0
@@ -44,7 +47,6 @@
     var steps = 0L
         private set
     private var tickets = 0L
-    private val administrative = mutableMapOf<Long, (ReplicaEffect.AnswerTicket) -> Unit>()
     private val agenda = PriorityQueue<Task>(compareBy({ it.time }, { it.number }))
 
     private class Task(
@@ -53,13 +55,16 @@
         val action: () -> Unit,
     )
 
+    val voters: List<ReplicaMember>
+        get() = checker.membership.voters
+
     val leader: SimulatedReplica?
         get() = replicas.values.filter { it.state?.role == ReplicaRole.LEADER }.maxByOrNull { it.state!!.term }
 
     init {
         replicas.keys.forEach(::start)
         val members = names.map { replicas.getValue(it).state!!.self }
-        deliver(names.first(), ReplicaEvent.FormGroup(0, members)) {}
+        deliver(names.first(), ReplicaEvent.FormGroup(0, members))
     }
 
     fun member(name: String): ReplicaMember =
@@ -162,12 +167,10 @@
     fun deliver(
         name: String,
         event: ReplicaEvent,
-        onAnswer: ((ReplicaEffect.AnswerTicket) -> Unit)? = null,
     ) {
         val replica = replicas.getValue(name)
         val state = replica.state ?: return
-        if (replica.stalledUntil > now) return deliverAfterStall(replica, event, onAnswer)
-        onAnswer?.let { administrative[ticketOf(event)] = it }
+        if (replica.stalledUntil > now) return deliverAfterStall(replica, event)
         val transition = reduceReplica(settings(name), safeguards, state, event, now)
         replica.state = transition.state
         checker.observe(transition.state)
@@ -195,21 +198,11 @@
     private fun deliverAfterStall(
         replica: SimulatedReplica,
         event: ReplicaEvent,
-        onAnswer: ((ReplicaEffect.AnswerTicket) -> Unit)?,
     ) {
         val start = replica.start
-        after(replica.stalledUntil - now) { if (replica.start == start) deliver(replica.name, event, onAnswer) }
+        after(replica.stalledUntil - now) { if (replica.start == start) deliver(replica.name, event) }
     }
 
-    private fun ticketOf(event: ReplicaEvent): Long =
-        when (event) {
-            is ReplicaEvent.FormGroup -> event.ticket
-            is ReplicaEvent.AdmitMember -> event.ticket
-            is ReplicaEvent.ReplaceMember -> event.ticket
-            is ReplicaEvent.RemoveMember -> event.ticket
-            else -> error("$event is not administrative")
-        }
-
     private fun scheduleSync(
         replica: SimulatedReplica,
         token: Long,
@@ -231,9 +224,7 @@
             is ReplicaEffect.SendEnvelope -> transmit(replica, effect)
             is ReplicaEffect.Persist -> replica.disk.write(effect)
             is ReplicaEffect.ApplyRecords -> apply(replica, effect)
-            is ReplicaEffect.AnswerTicket ->
-                administrative.remove(effect.ticket)?.invoke(effect)
-                    ?: checker.answered(effect)
+            is ReplicaEffect.AnswerTicket -> answer(effect)
             is ReplicaEffect.ReadConfirmed -> checker.readConfirmed(effect.ticket, replica.state!!.appliedIndex)
             is ReplicaEffect.CaptureSnapshot -> capture(replica, effect.index)
             is ReplicaEffect.InstallSnapshot -> install(replica, effect)
@@ -242,6 +233,10 @@
         }
     }
 
+    private fun answer(effect: ReplicaEffect.AnswerTicket) {
+        if (effect.ticket <= 0) administrativeAnswers[effect.ticket] = effect.answer else checker.answered(effect)
+    }
+
     private fun apply(
         replica: SimulatedReplica,
         effect: ReplicaEffect.ApplyRecords,
