Make the generated histories contend for capacity and deadlines

The engines of the histories had more slots than requests, so that nothing was preempted or refused as too late.

--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/EntryNode.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/EntryNode.kt
@@ -117,7 +117,7 @@
             return exchangeEnded(exchange.also { it.closed = true }, AttemptEnd.Cancelled(0))
         }
         submission.answeringAttempt = start.attemptNumber
-        fleet.starts.add(Start(start.upstream, simulation.now))
+        fleet.starts.add(start.upstream to simulation.now)
         simulation.after(simulation.between(1, 20)) {
             if (alive && !exchange.closed) fleet.upstream(start.upstream).open(exchange)
         }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/FakeUpstream.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/FakeUpstream.kt
@@ -70,7 +70,7 @@
         if (submission.caller.poison) {
             simulation.after(simulation.between(20, 200)) {
                 if (!down && !exchange.closed) {
-                    fleet.engineLosses.add(EngineLoss(exchange.entry, execution.content))
+                    fleet.engineLosses.add(exchange.entry to execution.content)
                     crash(simulation.between(500, 5_000))
                 }
             }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/Fleet.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/Fleet.kt
@@ -13,11 +13,12 @@
     val poison: Boolean = false,
 ) {
     val submissions = mutableListOf<Submission>()
+    var finishBy: Long? = null
     val keyed: Boolean
         get() = (target as? RequestTarget.Service)?.idempotencyKey != null
 
     fun request(number: Long) =
-        CallerRequest(number, organisation, className, target, content, 100, streamed = !keyed, finishBy = null)
+        CallerRequest(number, organisation, className, target, content, 100, streamed = !keyed, finishBy)
 }
 
 /** One submission of a call to one entry, and what came back. [cut] says that the entry died first. */
@@ -53,16 +54,6 @@
     data object BrokenStream : Final
 }
 
-internal data class EngineLoss(
-    val entry: EntryNode,
-    val content: String,
-)
-
-internal data class Start(
-    val upstream: String,
-    val at: Long,
-)
-
 /** The entries of a zone, their control group and upstreams, with the faults that a history injects. */
 internal class Fleet(
     val simulation: Simulation,
@@ -73,8 +64,12 @@
 ) {
     val executions = mutableListOf<Execution>()
     val submissions = mutableListOf<Submission>()
-    val engineLosses = mutableListOf<EngineLoss>()
-    val starts = mutableListOf<Start>()
+
+    /** Each engine that a poisonous content crashed, by the entry that sent it. */
+    val engineLosses = mutableListOf<Pair<EntryNode, String>>()
+
+    /** The upstream and the time of every attempt. */
+    val starts = mutableListOf<Pair<String, Long>>()
     val applied = mutableMapOf<String, MutableList<Long>>()
     val violations = mutableListOf<String>()
 
@@ -111,11 +106,12 @@
         duration: Long,
     ) {
         val since = simulation.now
+        if (upstream in leaving) return
         leaving[upstream] = since
         simulation.after(duration) {
             leaving.remove(upstream)
-            starts.filter { it.upstream == upstream && it.at in since + 3_000..simulation.now }.forEach {
-                violations.add("$upstream got new work ${it.at - since} ms after it was marked as leaving")
+            starts.filter { (name, at) -> name == upstream && at in since + 3_000..simulation.now }.forEach { (_, at) ->
+                violations.add("$upstream got new work ${at - since} ms after it was marked as leaving")
             }
         }
     }
@@ -137,7 +133,7 @@
 
 internal fun sampleConfiguration(): Configuration {
     val classes = listOf(trafficClass("quick", 1), trafficClass("orders", 2), trafficClass("patient", 4))
-    val engines = (1..5).map { engine("e$it", resumes = it % 2 == 0) }
+    val engines = (1..5).map { engine("e$it", resumes = it % 2 == 0, slots = 2) }
     val services = (1..3).map { service("s$it") }
     return Configuration(
         classes = classes,
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/History.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/History.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.core
 
 import hawthorncrank.entry.core.internal.EntryRules
+import hawthorncrank.protocol.WeightStore
 
 /**
  * One generated history: callers submit calls for 40 s while faults come and go, some of them two at a time; then the
@@ -44,6 +45,7 @@
                     )
                 else -> Caller(organisation, if (kind < 70) "quick" else "patient", model(), "prompt-$calls")
             }
+        if (simulation.chance(15)) caller.finishBy = simulation.now + simulation.between(500, 15_000)
         submit(caller, resends = 3)
         if (caller.keyed && simulation.chance(15)) {
             simulation.after(simulation.between(0, 400)) { submit(caller, resends = 2) }
@@ -79,64 +81,43 @@
 
     private fun inject() {
         val entry = fleet.entries.random(simulation.random)
-        val peer = fleet.zoneEntries.filter { it != entry.name }.random(simulation.random)
+        val name = entry.name
+        val peer = fleet.zoneEntries.filter { it != name }.random(simulation.random)
         val upstream = fleet.upstreams.random(simulation.random)
         val duration = simulation.between(500, 9_000)
-        val kind = FaultKind.entries.random(simulation.random)
-        faults.add("$kind ${entry.name} ${upstream.name} at ${simulation.now} for $duration")
-        when (kind) {
-            FaultKind.KILL -> fleet.kill(entry)
-            FaultKind.STOP -> entry.send(EntryEvent.StopRequested)
-            FaultKind.CUT_TO_CONTROL -> fleet.cut(entry.name, CONTROL, duration)
-            FaultKind.CUT_FROM_CONTROL -> fleet.cut(CONTROL, entry.name, duration)
-            FaultKind.CUT_CONTROL -> {
-                fleet.cut(entry.name, CONTROL, duration)
-                fleet.cut(CONTROL, entry.name, duration)
-            }
-            FaultKind.CUT_PEERS -> fleet.cut(entry.name, peer, duration)
-            FaultKind.LOSE_MAJORITY -> {
-                fleet.control.majority = false
-                simulation.after(duration) { fleet.control.majority = true }
-            }
-            FaultKind.CRASH -> upstream.crash(duration)
-            FaultKind.HANG -> {
-                upstream.hanging = true
-                simulation.after(duration) { upstream.hanging = false }
-            }
-            FaultKind.REFUSE -> {
-                upstream.refusing = true
-                simulation.after(duration) { upstream.refusing = false }
-            }
-            FaultKind.SLOW -> {
-                upstream.slow = true
-                simulation.after(duration) { upstream.slow = false }
-            }
-            FaultKind.DROP -> upstream.dropConnection()
-            FaultKind.LEAVE -> if (upstream.name !in fleet.leaving) fleet.mark(upstream.name, maxOf(duration, 4_000))
-            FaultKind.CHANGE ->
-                fleet.control.commit { it.copy(weightStore = it.weightStore.copy(loadsPerMinute = calls + 1)) }
-        }
+        val kinds =
+            listOf<Pair<String, () -> Unit>>(
+                "kill" to { fleet.kill(entry) },
+                "stop" to { entry.send(EntryEvent.StopRequested) },
+                "cut to control" to { fleet.cut(name, CONTROL, duration) },
+                "cut from control" to { fleet.cut(CONTROL, name, duration) },
+                "cut control" to
+                    { listOf(name to CONTROL, CONTROL to name).forEach { (a, b) -> fleet.cut(a, b, duration) } },
+                "cut peers" to { fleet.cut(name, peer, duration) },
+                "lose majority" to { temporarily(duration) { fleet.control.majority = !it } },
+                "crash" to { upstream.crash(duration) },
+                "hang" to { temporarily(duration) { upstream.hanging = it } },
+                "refuse" to { temporarily(duration) { upstream.refusing = it } },
+                "slow" to { temporarily(duration) { upstream.slow = it } },
+                "drop" to { upstream.dropConnection() },
+                "leave" to { fleet.mark(upstream.name, maxOf(duration, 4_000)) },
+                "change" to { fleet.control.commit { it.copy(weightStore = WeightStore(loadsPerMinute = calls + 1)) } },
+            )
+        val (kind, begin) = kinds.random(simulation.random)
+        faults.add("$kind $name ${upstream.name} at ${simulation.now} for $duration")
+        begin()
     }
 
-    private enum class FaultKind {
-        KILL,
-        STOP,
-        CUT_TO_CONTROL,
-        CUT_FROM_CONTROL,
-        CUT_CONTROL,
-        CUT_PEERS,
-        LOSE_MAJORITY,
-        CRASH,
-        HANG,
-        REFUSE,
-        SLOW,
-        DROP,
-        LEAVE,
-        CHANGE,
+    private fun temporarily(
+        duration: Long,
+        set: (Boolean) -> Unit,
+    ) {
+        set(true)
+        simulation.after(duration) { set(false) }
     }
 
     private companion object {
-        const val CALLS = 60
+        const val CALLS = 120
         const val LOAD_MILLISECONDS = 40_000L
 
         // Longer than every silence timeout, retry and repeat, so that no request may be open afterwards.
@@ -180,7 +161,7 @@
         if (reverted) found.add("REVERTED: $entry applied $versions")
     }
     fleet.engineLosses.groupBy { it }.filterValues { it.size > 3 }.forEach { (loss, all) ->
-        found.add("CRASHES: ${loss.entry.name} lost ${all.size} engines to ${loss.content}")
+        found.add("CRASHES: ${loss.first.name} lost ${all.size} engines to ${loss.second}")
     }
     return found
 }
