Ignore the ends of abandoned attempts as evidence on upstreams

An attempt whose caller has left ends as not connected or broken because this entry dropped it. Counting that as a connect failure or a crash would exclude a healthy engine or suspect its requests. A claimed call that was not sent before its caller left now frees its key instead of being tried elsewhere.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.entry.core.CancelReason
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.Measurement
+import hawthorncrank.entry.core.RequestResult
 import hawthorncrank.entry.core.SilencePhase
 import hawthorncrank.protocol.UpstreamKind
 
@@ -51,7 +52,9 @@
     val active = currentRequest(attempt)
     state = state.copy(attempts = state.attempts.copy(running = state.attempts.running.remove(attemptNumber)))
     attemptReleased(attempt, end)
-    observeEnd(attempt, end)
+    // The end of an attempt that was given up says nothing about its upstream.
+    val abandoned = attempt.cancelled != null || active?.callerLeft == true
+    if (!abandoned || end is AttemptEnd.Completed) observeEnd(attempt, end)
     val stillCurrent = active?.let { state.requests.active[it.number] }
     if (stillCurrent == null || currentAttempt(stillCurrent) != attemptNumber) return wasted(attempt, end)
     if (end !is AttemptEnd.Completed) {
@@ -68,6 +71,11 @@
     val provedNotBegun = provesNotBegun(end)
     val next = stillCurrent.copy(mayHaveRun = stillCurrent.mayHaveRun || !provedNotBegun)
     when {
+        provedNotBegun && stillCurrent.callerLeft -> {
+            giveUpClaim(stillCurrent)
+            finish(stillCurrent, RequestResult.CALLER_LEFT)
+        }
+
         claim == null -> unclaimedAttemptEnded(next, attempt, end)
         // The claim is undispatched as long as the upstream provably did not begin.
         provedNotBegun -> claimedAttemptEnded(stillCurrent.copy(phase = RequestPhase.Queued), claim, attempt, end)
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/ClaimsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/ClaimsTest.kt
@@ -119,6 +119,16 @@
         assertEquals(emptyList(), scenario.pass(3_000).of<EntryEffect.ReleaseAnswer>())
     }
 
+    @Test
+    fun `a call that was not sent before its caller left frees its key and is not tried elsewhere`() {
+        val scenario = Scenario(listOf(service("s1"), service("s2")))
+        val start = scenario.grantedOrder(1)
+        scenario.send(EntryEvent.CallerLeft(1))
+        val ended = scenario.end(start.attemptNumber, AttemptEnd.NotConnected)
+        assertEquals(emptyList(), ended.starts())
+        assertEquals(1, ended.toControl<EntryToControl.ClaimAbandon>().size)
+    }
+
     @Test
     fun `a repeated grant after the end never abandons a call that ran`() {
         val scenario = Scenario()
