Let requests with the same key share one verification; draw the latency plot as PNG

In a trial run of dawn-of-the-fete 10 of 3,283 requests were refused with 503 in the first second: more than four requests of one organisation arrived before its key was verified for the first time. The reducer was ruled out, whose own metrics counted no refusal. The SVG plot of that run took 786 KB, because it writes every grid dash as its own path.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/KeyRing.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/KeyRing.kt
@@ -28,6 +28,7 @@
     private val scheduler =
         Schedulers.newBoundedElastic(VERIFICATION_THREADS, QUEUED_VERIFICATIONS, "key-verification", 60, true)
     private val results: MutableMap<String, CheckedKey> = Collections.synchronizedMap(BoundedMap(CACHED_KEYS))
+    private val verifications = ConcurrentHashMap<String, Mono<Result<Organisation, Rejection>>>()
     private val pending = ConcurrentHashMap<String, AtomicInteger>()
 
     @Volatile private var organisations: Map<String, Organisation> = emptyMap()
@@ -41,10 +42,21 @@
         val digest = fastDigest(key)
         val known = results[digest]
         if (known != null && known.hashes == organisation.keyHashes) return Mono.just(known.result(organisation))
+        return verifications.computeIfAbsent(digest) { verification(key, digest, organisation) }
+    }
+
+    // Requests with the same key share one verification: after a start, many of them arrive before the first result.
+    private fun verification(
+        key: String,
+        digest: String,
+        organisation: Organisation,
+    ): Mono<Result<Organisation, Rejection>> {
         val waiting = pending.computeIfAbsent(organisation.name) { AtomicInteger() }
         if (waiting.incrementAndGet() > PENDING_PER_ORGANISATION) {
             waiting.decrementAndGet()
-            return Mono.just(Err(Rejection.KeyChecksBusy))
+            return Mono.just<Result<Organisation, Rejection>>(Err(Rejection.KeyChecksBusy)).doFinally {
+                verifications.remove(digest)
+            }
         }
         return Mono
             .fromCallable {
@@ -53,7 +65,10 @@
                     .result(organisation)
             }.subscribeOn(scheduler)
             .onErrorReturn(RejectedExecutionException::class.java, Err(Rejection.KeyChecksBusy))
-            .doFinally { waiting.decrementAndGet() }
+            .doFinally {
+                waiting.decrementAndGet()
+                verifications.remove(digest)
+            }.cache()
     }
 
     override fun close() = scheduler.dispose()
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/KeyRingTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/KeyRingTest.kt
@@ -41,6 +41,28 @@
         assertEquals("crew", check("crew.other").get()?.name)
     }
 
+    /** Guards against an organisation's own traffic that is refused while its first request's key is verified. */
+    @Test
+    fun `requests with the same key share one verification`() {
+        val release = CountDownLatch(1)
+        val slow =
+            KeyRing { key, hash ->
+                verifications.incrementAndGet()
+                release.await()
+                key == hash
+            }
+        slow.replaceOrganisations(listOf(organisation("crew", "crew.secret")))
+        val answers =
+            Flux
+                .range(0, 50)
+                .flatMap({ slow.organisationOf("crew.secret") }, 50)
+                .collectList()
+                .toFuture()
+        release.countDown()
+        assertEquals(50, answers.get(10, TimeUnit.SECONDS).orEmpty().count { it.get()?.name == "crew" })
+        assertEquals(1, verifications.get())
+    }
+
     @Test
     fun `a key of no organisation costs no verification`() {
         listOf("", ".", "crew", "crew.secret", "nobody.crew.secret").forEach { check(it) }
--- a/load/src/main/kotlin/hawthorncrank/load/Load.kt
+++ b/load/src/main/kotlin/hawthorncrank/load/Load.kt
@@ -13,7 +13,7 @@
 import kotlin.io.path.createDirectories
 import kotlin.io.path.writeText
 
-/** Runs [workload] and writes `result.json` and `latency.svg` to [folder]. */
+/** Runs [workload] and writes `result.json` and `latency.png` to [folder]. */
 fun runLoad(
     workload: Workload,
     folder: Path,
@@ -24,7 +24,7 @@
     val report = report(workload, results, duplicateRuns(workload.services))
     folder.createDirectories()
     folder.resolve("result.json").writeText(json.encodeToString(Report.serializer(), report))
-    writeLatencyPlot(workload, results, folder.resolve("latency.svg"))
+    writeLatencyPlot(workload, results, folder.resolve("latency.png"))
     val correct = results.none { it.ending == Ending.WRONG } && (report.duplicates ?: 0) == 0L
     return LoadOutcome(table(report), correct)
 }
--- a/load/src/main/kotlin/hawthorncrank/load/Main.kt
+++ b/load/src/main/kotlin/hawthorncrank/load/Main.kt
@@ -16,7 +16,7 @@
 /** Sends a workload to running entries and reports what came back. */
 private class LoadCommand : CliktCommand(name = "hawthorncrank-load") {
     private val workload by option(help = "TOML file that describes the load").path().required()
-    private val output by option(help = "folder for result.json and latency.svg").path().default(Path.of("load-result"))
+    private val output by option(help = "folder for result.json and latency.png").path().default(Path.of("load-result"))
 
     override fun run() {
         val file = workload.toString()
--- a/load/src/main/kotlin/hawthorncrank/load/internal/LatencyPlot.kt
+++ b/load/src/main/kotlin/hawthorncrank/load/internal/LatencyPlot.kt
@@ -1,8 +1,8 @@
 package hawthorncrank.load.internal
 
 import hawthorncrank.load.Workload
-import org.knowm.xchart.VectorGraphicsEncoder
-import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat
+import org.knowm.xchart.BitmapEncoder
+import org.knowm.xchart.BitmapEncoder.BitmapFormat
 import org.knowm.xchart.XYChart
 import org.knowm.xchart.XYChartBuilder
 import org.knowm.xchart.style.markers.SeriesMarkers
@@ -30,7 +30,7 @@
         series.marker = SeriesMarkers.NONE
     }
     if (chart.seriesMap.isEmpty()) return
-    VectorGraphicsEncoder.saveVectorGraphic(chart, file.toString(), VectorGraphicsFormat.SVG)
+    BitmapEncoder.saveBitmap(chart, file.toString(), BitmapFormat.PNG)
 }
 
 private fun bins(results: List<RequestResult>): Map<Long, Double> =
