--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -76,7 +76,7 @@
         val now = clock.now()
         val seed = SecureRandom().nextLong()
         val started =
-            startReplica(replicaSettings, settings.name, settings.linkAddress, recovered, seed, now).let { transition ->
+            startReplica(replicaSettings, settings.name, ownAddress(), recovered, seed, now).let { transition ->
                 val state =
                     ProcessState(
                         replica = transition.state,
@@ -89,6 +89,9 @@
         return ControlThread(controlReducer(replica), started, clock, log, ::carryOut, failed)
     }
 
+    /** Where the others reach this replica, which may differ from the address that it listens on. */
+    private fun ownAddress() = settings.replicas.first { it.name == settings.name }.address
+
     private fun carryOut(effect: ControlEffect) {
         when (effect) {
             is ControlEffect.Persist, is ControlEffect.EncodeSnapshot -> disk.submit(effect)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Proposals.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Proposals.kt
@@ -78,14 +78,18 @@
     operation: ControlOperation,
 ) = ControlCodec.encode(ControlCommand(identifier, by, state.clock(now), wallTime, operation))
 
-/** A refusal or an open end is not the last word while the deadline is ahead: a new leader may take the command. */
+/**
+ * A refusal or an open end is not the last word while the deadline is ahead: a new leader may take the command. A command
+ * that is committed is usually applied here by now; if a snapshot skipped its record, proposing it again under the same
+ * identifier brings its answer.
+ */
 internal fun ControlStep.commandAnswered(
     use: TicketUse.Command,
     answer: TicketAnswer,
 ) {
     val pending = state.pending[use.identifier] ?: return
     when (answer) {
-        is TicketAnswer.Committed -> Unit
+        is TicketAnswer.Committed -> delay(use.identifier, pending.copy(certain = false))
         is TicketAnswer.Refused -> refused(use.identifier, pending, answer.reason)
         TicketAnswer.Unknown -> delay(use.identifier, pending.copy(certain = false))
     }
