--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
@@ -7,11 +7,11 @@
 import java.util.SplittableRandom
 
 /**
- * One choice of an upstream. Distances are tried in turn: zone, region, and another region if the target would
- * otherwise be missed. Within a distance, slow engines come last: work that could run elsewhere would miss its targets
- * there. Among the others, an upstream with free room is looked for first, among two random ones and
- * those that hold the prompt's prefix, then among all. Only then does rule R2 let the request in above lower tiers, on
- * the upstream whose preemptable work is of the lowest tier.
+ * One choice of an upstream. An upstream with free room is looked for in the zone, then in the region; only then does
+ * rule R2 let the request in above lower tiers, on the upstream whose preemptable work is of the lowest tier. Slow
+ * engines come after that, since work that could run elsewhere would miss its targets there. Another region is used
+ * only if the target would otherwise be missed. Of the upstreams with room, the cheapest of two random ones and those
+ * that hold the prompt's prefix is taken, or of all if none of these has room.
  */
 internal class Choosing(
     private val state: RouterState,
@@ -20,6 +20,7 @@
 ) {
     private val random = SplittableRandom(state.seed)
     private val work = question.work
+    private val home = state.home(work.target)
     private val matches: Map<String, Double> =
         if (state.policy.prefixAffinity) {
             state.prefixes.matches(work.prefixBlocks) { state.upstreams[it]?.cache }
@@ -30,12 +31,8 @@
     fun choose(): RoutingAnswer {
         val candidates = state.candidates[work.target] ?: return RoutingAnswer.NoUpstream
         if (question.constraint.isolated) return isolated(candidates)
-        for (distance in Distance.entries) {
-            if (distance == Distance.ELSEWHERE && !mayLeaveRegion(candidates)) continue
-            val (normal, slow) = candidates.at(distance).partition { state.factor(upstream(it)) >= 1.0 }
-            val chosen = among(normal) ?: among(slow.filter(::endsInTime)) ?: continue
-            return chosen
-        }
+        within(listOf(candidates.at(Distance.ZONE), candidates.at(Distance.REGION)))?.let { return it }
+        if (mayLeaveRegion(candidates)) within(listOf(candidates.at(Distance.ELSEWHERE)))?.let { return it }
         val excludedAll = candidates.all.all { it in question.constraint.excluded }
         return if (excludedAll) RoutingAnswer.ConstraintUnmet else RoutingAnswer.NoRoom
     }
@@ -46,11 +43,16 @@
         return now + interval * (question.likelyTokens ?: 0) <= finishBy
     }
 
-    private fun among(names: List<String>): RoutingAnswer? {
-        if (names.isEmpty()) return null
-        return withFreeRoom(names) ?: aboveLowerTiers(names)
+    /** Looks for room in groups of upstreams, the nearest first. */
+    private fun within(groups: List<List<String>>): RoutingAnswer? {
+        val normal = groups.map { names -> names.filter { state.factor(upstream(it)) >= 1.0 } }
+        val slow = groups.map { names -> names.filter { state.factor(upstream(it)) < 1.0 && endsInTime(it) } }
+        return roomIn(normal) ?: roomIn(slow)
     }
 
+    private fun roomIn(groups: List<List<String>>): RoutingAnswer? =
+        groups.firstNotNullOfOrNull(::withFreeRoom) ?: groups.firstNotNullOfOrNull(::aboveLowerTiers)
+
     /** The engine with no other suspect and the least other work; tier 1 elsewhere breaks ties. */
     private fun isolated(candidates: Candidates): RoutingAnswer {
         val chosen =
@@ -67,19 +69,14 @@
     }
 
     private fun withFreeRoom(names: List<String>): RoutingAnswer? {
+        if (names.isEmpty()) return null
         if (state.policy.choice == ChoiceRule.ROUND_ROBIN) return roundRobin(names)
         if (state.policy.choice == ChoiceRule.LEAST_IN_FLIGHT) {
             return names.filter(::hasFreeRoom).minByOrNull { upstream(it).own }?.let { chosen(it, false) }
         }
         val sampled = LinkedHashSet<String>()
         repeat(2) { sampled += names[random.nextInt(names.size)] }
-        for (name in matches.keys) {
-            if (upstream(name).distance == upstream(names[0]).distance &&
-                name in state.upstreams
-            ) {
-                sampled += name
-            }
-        }
+        sampled += matches.keys
         val best = sampled.filter { it in names && hasFreeRoom(it) }.minByOrNull(::cost)
         if (best != null) return chosen(best, false)
         return names.filter(::hasFreeRoom).minByOrNull(::cost)?.let { chosen(it, false) }
@@ -115,7 +112,7 @@
     private fun roomFor(
         counted: Int,
         upstream: UpstreamState,
-    ): Boolean = counted + 0.5 <= state.share(upstream, now)
+    ): Boolean = counted + 0.5 <= state.share(upstream, home, now)
 
     private fun allowed(name: String): Boolean = name !in question.constraint.excluded
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -35,6 +35,7 @@
     val classes: PersistentMap<String, TrafficClass> = persistentHashMapOf(),
     val candidates: PersistentMap<WorkTarget, Candidates> = persistentHashMapOf(),
     val floorFraction: Double = 0.0,
+    val zonesSharing: List<Int> = List(Distance.entries.size) { 1 },
     val attempts: PersistentMap<Long, RunningAttempt> = persistentHashMapOf(),
     val prefixes: PrefixIndex = PrefixIndex(),
     val medians: PersistentMap<WorkTarget, PeerMedian> = persistentHashMapOf(),
@@ -141,20 +142,27 @@
         now: Long,
     ): RoutingAnswer = Choosing(this, question, now).choose()
 
-    /** The requests of shared capacity that this entry may have on the upstream. */
+    /**
+     * The requests of shared capacity that this entry may have on the upstream: its owned part of the upstreams at its
+     * [home] distance, and its part of what is reported free. A zone without upstreams of a target is at home among
+     * those of the region, which it shares with the region's other zones.
+     */
     fun share(
         state: UpstreamState,
+        home: Distance,
         now: Long,
     ): Double {
-        val borrowed = state.free(now, policy.loadDiscounting) / liveEntries
         val factor = factor(state)
-        val owned = state.slots * (1 - floorFraction) / liveEntries
-        return when {
-            state.distance == Distance.ZONE || state.report == null -> maxOf(1.0, owned * factor) + borrowed * factor
-            else -> borrowed * factor
-        }
+        val borrowed = state.free(now, policy.loadDiscounting) / liveEntries * factor
+        if (state.distance > home && state.report != null) return borrowed
+        val owned = state.slots * (1 - floorFraction) / (liveEntries * zonesSharing[state.distance.ordinal])
+        return maxOf(1.0, owned * factor) + borrowed
     }
 
+    /** The nearest distance at which the target has usable upstreams. */
+    fun home(target: WorkTarget): Distance =
+        Distance.entries.firstOrNull { !candidates[target]?.at(it).isNullOrEmpty() } ?: Distance.ELSEWHERE
+
     fun factor(state: UpstreamState): Double = if (policy.slowDetection) state.speed.factor else 1.0
 
     private fun observeInterval(
@@ -224,10 +232,17 @@
         val slots = inZone.sumOf { it.slots }
         return copy(
             candidates = byTarget.mapValues { (_, states) -> Candidates(states) }.toPersistentHashMap(),
+            zonesSharing = Distance.entries.map(::zonesWithin),
             floorFraction = if (slots == 0) 0.0 else minOf(LARGEST_FLOOR_FRACTION, floorSlots.toDouble() / slots),
         )
     }
 
+    /** How many availability zones, this one included, have upstreams within the distance. */
+    private fun zonesWithin(distance: Distance): Int {
+        val zones = upstreams.values.filter { it.distance <= distance }.map { it.settings.availabilityZone }
+        return (zones + location.availabilityZone).distinct().size
+    }
+
     private fun distance(settings: Upstream): Distance =
         when {
             settings.availabilityZone == location.availabilityZone -> Distance.ZONE
@@ -235,14 +250,14 @@
             else -> Distance.ELSEWHERE
         }
 
-    private companion object {
-        const val MEDIAN_MILLISECONDS = 500L
+    companion object {
+        private const val MEDIAN_MILLISECONDS = 500L
 
         /** With two engines, the lower interval is the reference; one alone is never slow. */
-        const val LEAST_PEERS = 2
+        private const val LEAST_PEERS = 2
 
         /** Shared capacity keeps at least three quarters of a small zone. */
-        const val LARGEST_FLOOR_FRACTION = 0.25
+        private const val LARGEST_FLOOR_FRACTION = 0.25
 
         fun targetsOf(settings: Upstream): List<WorkTarget> =
             when (settings.kind) {
@@ -286,7 +301,10 @@
     override fun share(
         upstream: String,
         now: Long,
-    ): Double = state.upstreams[upstream]?.let { state.share(it, now) } ?: 0.0
+    ): Double = state.upstreams[upstream]?.let { state.share(it, homeOf(it), now) } ?: 0.0
+
+    private fun homeOf(upstream: UpstreamState): Distance =
+        RouterState.targetsOf(upstream.settings).minOfOrNull { state.home(it) } ?: Distance.ZONE
 
     override fun isEligible(upstream: String): Boolean = state.upstreams[upstream]?.usable ?: false
 
--- a/routing/src/test/kotlin/hawthorncrank/routing/RouterTest.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/RouterTest.kt
@@ -135,6 +135,21 @@
         assertTrue(factors.zipWithNext().all { (before, after) -> after.first - before.first >= 5 }, "$factors")
     }
 
+    @Test
+    fun `free room in the region comes before lower tiers of the zone, and a zone without engines owns a part of it`() {
+        val here = Upstream("here", UpstreamKind.ENGINE, "", "z1", "r1", listOf("m"), slots = 1)
+        val near = Upstream("near", UpstreamKind.ENGINE, "", "z2", "r1", listOf("m"), slots = 8)
+        var router = router(Configuration(classes, upstreams = listOf(here, near)), LOCATION, 1, 1)
+        router = start(router, work(1, tier = 5), "here", tier = 5)
+        assertEquals("near", chosen(router, work(2), now = 0))
+        val full = router.observeLoad("near", UpstreamLoad(1, 8, 0, 8, null), 0)
+        val above = assertIs<RoutingAnswer.Chosen>(full.place(question(work(2)), 0))
+        assertEquals("here" to true, above.upstream to above.overcommitted)
+        val alone = full.setEligible("here", false)
+        assertEquals(4.0, alone.view.share("near", 0), 0.01, "two zones share the engine")
+        assertEquals("near", chosen(alone, work(2), now = 0))
+    }
+
     @Test
     fun `another region is used only once half of the target has passed, and its bytes are counted`() {
         val here = Upstream("here", UpstreamKind.ENGINE, "", "z1", "r1", listOf("m"), slots = 1)
