Let floors pass over requests that cannot be placed

A suspect that waits for an engine of its own stood at the head of its class's floor and held up the class, against P2: the floor asked only for the oldest request of the longest-waiting organisation. It now passes over requests that placement turns down for reasons of their own, as shared capacity already did. A test guards both.

--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Dispatching.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Dispatching.kt
@@ -59,20 +59,29 @@
     private fun startOnFloor(className: String): Boolean {
         val heads =
             state.lanes.values
-                .mapNotNull { it[className]?.longestWaiting() }
+                .mapNotNull { it[className]?.let(::floorCandidate) }
                 .sortedBy { it.first }
         for ((_, work) in heads) {
             steps++
             if (refusedAsUseless(work)) return true
-            val answer = ask(work, CapacityKind.FLOOR)
-            if (answer is PlacementAnswer.Placed) {
-                start(work, answer, CapacityKind.FLOOR)
-                return true
+            when (val answer = ask(work, CapacityKind.FLOOR)) {
+                is PlacementAnswer.Placed -> {
+                    start(work, answer, CapacityKind.FLOOR)
+                    return true
+                }
+                PlacementAnswer.NotThisRequest -> {
+                    skipped += work.requestNumber
+                    return true
+                }
+                PlacementAnswer.NoRoom -> Unit
             }
         }
         return false
     }
 
+    private fun floorCandidate(lane: Lane): Pair<Long, QueuedWork>? =
+        lane.byWait().take(CANDIDATES).firstOrNull { it.second.requestNumber !in skipped }
+
     private fun startShared(target: WorkTarget) {
         while (true) {
             val className = nextLane(target) ?: return
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Lane.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/Lane.kt
@@ -35,11 +35,9 @@
                 .map { it.value }
         }
 
-    /** The oldest request of the organisation that has waited longest, with the time since when it waits. */
-    fun longestWaiting(): Pair<Long, QueuedWork>? {
-        val entry = byWait.first() ?: return null
-        return entry.key.position.toLong() to oldestOf(entry.value)!!
-    }
+    /** The oldest request of each organisation, longest-waiting first, with the time since when it waits (rule R5). */
+    fun byWait(): Sequence<Pair<Long, QueuedWork>> =
+        byWait.entries().map { it.key.position.toLong() to oldestOf(it.value)!! }
 
     /** The newest request of the organisation with the longest queue for its weight. */
     fun firstToShed(): QueuedWork? =
--- a/scheduling/src/test/kotlin/hawthorncrank/scheduling/SchedulerRulesTest.kt
+++ b/scheduling/src/test/kotlin/hawthorncrank/scheduling/SchedulerRulesTest.kt
@@ -101,6 +101,38 @@
         assertEquals(1L to 0L, first.requestNumber to first.arrival)
     }
 
+    @Test
+    fun `a request that cannot be placed for reasons of its own holds up neither the floor nor the class`() {
+        val organisations = listOf(organisation("o"), organisation("p"))
+        var scheduler = scheduler(Configuration(listOf(TrafficClass("c", 1)), organisations))
+        scheduler = queued(scheduler, work(arrival = 0))
+        repeat(2) { scheduler = queued(scheduler, work(arrival = 1).copy(organisation = "p")) }
+        val usual = FakeEngines.placement()
+        val unplaceable =
+            Placement<FakeEngines>(
+                place = { engines, question ->
+                    if (question.work.requestNumber ==
+                        1L
+                    ) {
+                        PlacementAnswer.NotThisRequest
+                    } else {
+                        usual.place(engines, question)
+                    }
+                },
+                release = usual.release,
+            )
+        val result = scheduler.dispatch(2, FakeEngines(mapOf("e1" to 9)), unplaceable)
+        val started = result.decisions.map { assertIs<DispatchDecision.Start>(it) }
+        assertEquals(
+            listOf(2L to CapacityKind.FLOOR, 3L to CapacityKind.SHARED),
+            started.map {
+                it.work.requestNumber to
+                    it.capacity
+            },
+        )
+        assertTrue(result.scheduler.view.isQueued(1))
+    }
+
     @Test
     fun `the predicted wait grows with the queue and with the time between starts`() {
         var scheduler = scheduler(configuration(organisation("o")), SchedulingPolicy(floor = false))
