--- a/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -8,6 +8,7 @@
 import hawthorncrank.protocol.ReplicaMember
 import java.util.PriorityQueue
 import kotlin.random.Random
+import kotlin.test.assertTrue
 
 class SimulatedReplica(
     val name: String,
@@ -120,6 +121,12 @@
             }
         }
 
+    fun state(name: String): ReplicaState = replicas.getValue(name).state!!
+
+    fun followers(): List<String> = replicas.keys.filter { it != leader?.name && it !in spare }
+
+    fun settle() = assertTrue(run(30_000, until = ::isHealthy), "no recovery: ${checker.membership}")
+
     fun crash(name: String) {
         val replica = replicas.getValue(name)
         replica.state = null
@@ -279,3 +286,9 @@
         const val TICK = 100L
     }
 }
+
+/** A formed group, of three replicas unless named otherwise. */
+internal fun healthyGroup(
+    vararg names: String = arrayOf("a", "b", "c"),
+    spare: List<String> = emptyList(),
+): SimulatedGroup = SimulatedGroup(seed = 17, names = names.toList(), spare = spare).also(SimulatedGroup::settle)
