Check the leader's lease and groups of seven in generated histories

Orders to engines rely on the time of the last majority contact: no other replica leads until the shortest election timeout after it.

--- a/consensus/src/test/kotlin/hawthorncrank/consensus/AgreementMeasurementTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/AgreementMeasurementTest.kt
@@ -38,10 +38,8 @@
         val kept = ReplicaSettings(emptyList()).let { it.snapshotInterval + it.retainedRecords + it.waitingCommands }
         assertTrue(perRecord * kept < NODE_BYTES, "$perRecord bytes for each of $kept records")
     }
-
-    private companion object {
-        const val RECORDS = 100_000
-        const val NODE_BYTES_PER_SECOND = 6_000.0
-        const val NODE_BYTES = 64_000_000L
-    }
 }
+
+private const val RECORDS = 100_000
+private const val NODE_BYTES_PER_SECOND = 6_000.0
+private const val NODE_BYTES = 64_000_000L
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/FaultDetectionTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/FaultDetectionTest.kt
@@ -33,8 +33,6 @@
         println("$safeguards, amnesia $amnesia, outcomes only $onlyOutcomes: $found")
         assertNotNull(found, "no violation in seeds 1 to $SEEDS")
     }
-
-    private companion object {
-        const val SEEDS = 600L
-    }
 }
+
+private const val SEEDS = 600L
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/FileReplicaStorageTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/FileReplicaStorageTest.kt
@@ -205,8 +205,6 @@
         assertEquals(state.membership, again.state.membership)
         assertIs<ReplicaEffect.InstallSnapshot>(again.effects.single())
     }
-
-    private companion object {
-        const val SEED = 20_260L
-    }
 }
+
+private const val SEED = 20_260L
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistory.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistory.kt
@@ -8,12 +8,11 @@
     safeguards: Safeguards = Safeguards(),
     checker: HistoryChecker = HistoryChecker(),
     private val amnesia: Boolean = false,
-    private val duration: Long = 60_000,
 ) {
     val group =
         SimulatedGroup(
             seed,
-            if (seed % 4 == 0L) listOf("a", "b", "c", "d", "e") else listOf("a", "b", "c"),
+            listOf("a", "b", "c", "d", "e", "f", "g").take(SIZES[(seed % SIZES.size).toInt()]),
             spare = if (seed % 4 == 1L) listOf("s") else emptyList(),
             safeguards = safeguards,
             checker = checker,
@@ -38,7 +37,7 @@
         group.run(8_000)
         scheduleRequest()
         scheduleFault()
-        group.run(duration)
+        group.run(60_000)
         heal()
         if (!group.run(RECOVERY, until = group::isHealthy)) throw Violation("no recovery: ${describe()}")
         val waiting = group.voters.mapTo(mutableSetOf()) { it.name }
@@ -170,8 +169,7 @@
             val state = replica.state
             "${state?.self?.identity} ${state?.role} term ${state?.term} applied ${state?.appliedIndex}/${state?.lastIndex}"
         } + ", committed ${group.checker.committed.size}, ${group.checker.membership}"
-
-    private companion object {
-        const val RECOVERY = 40_000L
-    }
 }
+
+private const val RECOVERY = 40_000L
+private val SIZES = listOf(7, 3, 3, 3, 5, 3, 3, 3)
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -27,7 +27,6 @@
 }
 
 /** Replicas, their disks and the network between them in virtual time. Everything random comes from [seed]. */
-@Suppress("LongParameterList")
 internal class SimulatedGroup(
     val seed: Long,
     names: List<String> = listOf("a", "b", "c"),
@@ -177,11 +176,20 @@
         val transition = reduceReplica(settings(name), safeguards, state, event, now)
         replica.state = transition.state
         checker.observe(transition.state)
+        if (transition.state.role == ReplicaRole.LEADER) checkLeases(transition.state)
         transition.effects.forEach { carryOut(replica, it) }
         val token = transition.effects.filterIsInstance<ReplicaEffect.Persist>().maxOfOrNull { it.token } ?: return
         scheduleSync(replica, token)
     }
 
+    /** Orders to engines rely on it: while a leader's contact is younger than the shortest timeout, no other leads. */
+    private fun checkLeases(newest: ReplicaState) =
+        replicas.values.mapNotNull { it.state }.forEach { other ->
+            val age = now - (other.majorityContact ?: return@forEach)
+            val broken = other.term < newest.term && age < settings(newest.self.name).electionTimeoutMinimum
+            if (broken) throw Violation("${newest.self} leads within the lease of ${other.self}, $age ms old")
+        }
+
     private fun deliverAfterStall(
         replica: SimulatedReplica,
         event: ReplicaEvent,
@@ -281,10 +289,6 @@
         return leader != null && membership.learners.isEmpty() && membership.voters.isNotEmpty() &&
             membership.voters.all { states[it.identity]?.appliedIndex == checker.committed.size.toLong() }
     }
-
-    private companion object {
-        const val TICK = 100L
-    }
 }
 
 /** A formed group, of three replicas unless named otherwise. */
@@ -292,3 +296,5 @@
     vararg names: String = arrayOf("a", "b", "c"),
     spare: List<String> = emptyList(),
 ): SimulatedGroup = SimulatedGroup(seed = 17, names = names.toList(), spare = spare).also(SimulatedGroup::settle)
+
+private const val TICK = 100L
