--- a/consensus/src/test/kotlin/hawthorncrank/consensus/FaultDetectionTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/FaultDetectionTest.kt
@@ -27,14 +27,12 @@
         val found =
             (1L..SEEDS).firstNotNullOfOrNull { seed ->
                 val history = GeneratedHistory(seed, safeguards, HistoryChecker(onlyOutcomes), amnesia)
-                val problem = runCatching(history::run).exceptionOrNull()?.message
+                val problem = (runCatching(history::run).exceptionOrNull() as? IllegalStateException)?.message
                 problem?.takeIf { !it.startsWith("no ") }?.let { "seed $seed: $it" }
             }
         println("$safeguards, amnesia $amnesia, outcomes only $onlyOutcomes: $found")
         assertNotNull(found, "no violation in seeds 1 to $SEEDS")
     }
-
-    private companion object {
-        const val SEEDS = 600L
-    }
 }
+
+private const val SEEDS = 600L
