Burst, cut zones and check for errors in the generated histories

An exception in the reducer now counts as a violation; discarding of stale attempts joins the mechanisms that the checks are shown to miss. Two switches that no history could show were removed; focused tests cover late grants and attestation.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -56,7 +56,8 @@
     val abandoned = attempt.cancelled != null || active?.callerLeft == true
     if (!abandoned || end is AttemptEnd.Completed) observeEnd(attempt, end)
     val stillCurrent = active?.let { state.requests.active[it.number] }
-    if (stillCurrent == null || currentAttempt(stillCurrent) != attemptNumber) return wasted(attempt, end)
+    val stale = stillCurrent == null || currentAttempt(stillCurrent) != attemptNumber
+    if (stillCurrent == null || stale && rules.staleAttemptsAreDiscarded) return wasted(attempt, end)
     if (end !is AttemptEnd.Completed) {
         record(
             EntryDecisionEvent.ATTEMPT_FAILED,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Claims.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Claims.kt
@@ -104,7 +104,6 @@
     val phase = active.phase
     if (phase is RequestPhase.Claiming) {
         val asked = state.claims.asked[phase.attemptIdentifier] ?: return
-        if (!rules.lateGrantsAreAbandoned) return
         claims { it.copy(asked = it.asked.remove(phase.attemptIdentifier)) }
         if (asked.sends > 0) abandon(phase.attemptIdentifier, asked.key)
         return
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
@@ -111,7 +111,7 @@
 private fun Reduction.startByAttestation() {
     val best = state.configuration.bestAttested ?: return
     val entries = settings.zoneEntries.size
-    val needed = if (rules.startNeedsAttestation) entries - entries / 2 else 1
+    val needed = entries - entries / 2
     if (state.configuration.attested.size < needed) return
     record(
         EntryDecisionEvent.STARTED_BY_ATTESTATION,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryRules.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryRules.kt
@@ -6,13 +6,11 @@
  */
 internal data class EntryRules(
     val claimsPrecedeDispatch: Boolean = true,
-    val lateGrantsAreAbandoned: Boolean = true,
     val claimedCallsRunOnce: Boolean = true,
     val refusalsStateTheTruth: Boolean = true,
     val deliveredBytesForbidRestart: Boolean = true,
     val staleAttemptsAreDiscarded: Boolean = true,
     val versionsOnlyRise: Boolean = true,
-    val startNeedsAttestation: Boolean = true,
     val leavingUpstreamsGetNothing: Boolean = true,
     val convictionsAreEnforced: Boolean = true,
     val engineLossesAreLimited: Boolean = true,
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/EntryNode.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/EntryNode.kt
@@ -75,13 +75,10 @@
     private fun carryOut(effect: EntryEffect) {
         when (effect) {
             is EntryEffect.StartAttempt -> startAttempt(effect)
-            is EntryEffect.CancelAttempt ->
-                exchanges[effect.attemptNumber]?.let {
-                    fleet
-                        .upstream(
-                            it.start.upstream,
-                        ).cancel(it)
-                }
+            is EntryEffect.CancelAttempt -> {
+                if (effect.reason == CancelReason.PREEMPTED) fleet.preempted++
+                exchanges[effect.attemptNumber]?.let { fleet.upstream(it.start.upstream).cancel(it) }
+            }
             is EntryEffect.ReleaseAnswer -> releaseAnswer(effect.requestNumber)
             is EntryEffect.RefuseCaller -> submissions[effect.requestNumber]?.finish(Final.Refused(effect.refusal))
             is EntryEffect.ReplayAnswer ->
@@ -117,6 +114,7 @@
             return exchangeEnded(exchange.also { it.closed = true }, AttemptEnd.Cancelled(0))
         }
         submission.answeringAttempt = start.attemptNumber
+        if (start.resume != null) fleet.resumed++
         fleet.starts.add(start.upstream to simulation.now)
         simulation.after(simulation.between(1, 20)) {
             if (alive && !exchange.closed) fleet.upstream(start.upstream).open(exchange)
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/Fleet.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/Fleet.kt
@@ -72,6 +72,8 @@
     val starts = mutableListOf<Pair<String, Long>>()
     val applied = mutableMapOf<String, MutableList<Long>>()
     val violations = mutableListOf<String>()
+    var preempted = 0
+    var resumed = 0
 
     /** When the platform's list began to mark an upstream as leaving. */
     val leaving = mutableMapOf<String, Long>()
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/GeneratedHistoriesTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/GeneratedHistoriesTest.kt
@@ -20,10 +20,14 @@
         var executions = 0
         var submissions = 0
         var answered = 0
+        var preempted = 0
+        var resumed = 0
         val failures = mutableListOf<String>()
         for (seed in firstSeed until firstSeed + count) {
             val result = History(seed).run()
             executions += result.fleet.executions.size
+            preempted += result.fleet.preempted
+            resumed += result.fleet.resumed
             submissions += result.fleet.submissions.size
             answered += result.fleet.submissions.count { Final.Whole in it.finals }
             if (result.violations.isNotEmpty()) {
@@ -33,7 +37,7 @@
             }
         }
         println("histories: $submissions submissions, $executions executions, $answered whole answers")
-        println("histories: ${failures.size} failed")
+        println("histories: $preempted preemptions, $resumed resumed streams, ${failures.size} failed")
         assertEquals(emptyList(), failures.take(3))
     }
 
@@ -76,6 +80,7 @@
                     EntryRules(deliveredBytesForbidRestart = false),
                     false,
                 ),
+                Weakened("discarding of stale attempts", "ERROR", EntryRules(staleAttemptsAreDiscarded = false)),
                 Weakened("rising versions", "REVERTED", EntryRules(versionsOnlyRise = false)),
                 Weakened("leaving marks", "leaving", EntryRules(leavingUpstreamsGetNothing = false)),
                 Weakened(
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/History.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/History.kt
@@ -21,12 +21,14 @@
         fleet.begin()
         simulation.after(1_000) { nextCall() }
         simulation.after(2_000) { nextFault() }
-        simulation.runUntil(simulation.now + LOAD_MILLISECONDS + QUIET_MILLISECONDS)
+        runCatching { simulation.runUntil(simulation.now + LOAD_MILLISECONDS + QUIET_MILLISECONDS) }
+            .onFailure { fleet.violations.add("ERROR: $it at ${it.stackTrace.first()}") }
         return HistoryResult(checkHistory(fleet), faults, fleet)
     }
 
     private fun nextCall() {
-        if (calls++ >= CALLS) return
+        calls++
+        if (simulation.now >= 1_000_000 + LOAD_MILLISECONDS) return
         val organisation = listOf("lumen", "aisle").random(simulation.random)
         val kind = simulation.random.nextInt(100)
         val caller =
@@ -91,8 +93,8 @@
                 "stop" to { entry.send(EntryEvent.StopRequested) },
                 "cut to control" to { fleet.cut(name, CONTROL, duration) },
                 "cut from control" to { fleet.cut(CONTROL, name, duration) },
-                "cut control" to
-                    { listOf(name to CONTROL, CONTROL to name).forEach { (a, b) -> fleet.cut(a, b, duration) } },
+                "cut control" to { cutControl(name, duration) },
+                "cut zone" to { fleet.zoneEntries.forEach { cutControl(it, duration) } },
                 "cut peers" to { fleet.cut(name, peer, duration) },
                 "lose majority" to { temporarily(duration) { fleet.control.majority = !it } },
                 "crash" to { upstream.crash(duration) },
@@ -101,6 +103,7 @@
                 "slow" to { temporarily(duration) { upstream.slow = it } },
                 "drop" to { upstream.dropConnection() },
                 "leave" to { fleet.mark(upstream.name, maxOf(duration, 4_000)) },
+                "burst" to { burst(entry) },
                 "change" to { fleet.control.commit { it.copy(weightStore = WeightStore(loadsPerMinute = calls + 1)) } },
             )
         val (kind, begin) = kinds.random(simulation.random)
@@ -108,6 +111,23 @@
         begin()
     }
 
+    /** More patient calls than the entry has room for, and quick ones while the patient ones have not begun to answer. */
+    private fun burst(entry: EntryNode) {
+        if (!entry.alive) return
+        repeat(15) { entry.submit(Caller("lumen", "patient", model(), "patient-${calls++}")) }
+        simulation.after(simulation.between(1, 200)) {
+            if (entry.alive) repeat(10) { entry.submit(Caller("aisle", "quick", model(), "quick-${calls++}")) }
+        }
+    }
+
+    private fun cutControl(
+        name: String,
+        duration: Long,
+    ) {
+        fleet.cut(name, CONTROL, duration)
+        fleet.cut(CONTROL, name, duration)
+    }
+
     private fun temporarily(
         duration: Long,
         set: (Boolean) -> Unit,
