--- a/common/src/main/kotlin/hawthorncrank/common/Settings.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/Settings.kt
@@ -35,11 +35,11 @@
     try {
         Ok(toml.decodeFromString(deserializer, text))
     } catch (failure: TomlDecodingException) {
-        Err(describe(file, failure.message.orEmpty()))
+        Err(nameKey(text, describe(file, failure.message.orEmpty())))
     } catch (failure: SerializationException) {
-        Err(describe(file, failure.message.orEmpty()))
+        Err(nameKey(text, describe(file, failure.message.orEmpty())))
     } catch (failure: IllegalArgumentException) {
-        Err(describe(file, failure.message.orEmpty()))
+        Err(nameKey(text, describe(file, failure.message.orEmpty())))
     }
 
 private fun describe(
--- a/emulator/src/test/kotlin/hawthorncrank/emulator/EmulatorTest.kt
+++ b/emulator/src/test/kotlin/hawthorncrank/emulator/EmulatorTest.kt
@@ -5,6 +5,7 @@
 import hawthorncrank.common.EventLog
 import hawthorncrank.common.Milliseconds
 import hawthorncrank.common.SettingsFailure
+import hawthorncrank.common.decodeSettings
 import hawthorncrank.common.systemClock
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -112,6 +113,15 @@
         assertIs<SettingsFailure.PortInUse>(result.getError())
     }
 
+    /** Guards against a wrong unit that is reported without the key it stands at. */
+    @Test
+    fun `a wrong unit is named with its key and remedy`() {
+        val text = "[[platforms]]\nname = \"p\"\naddress = \"127.0.0.1:0\"\nlag = \"3 parsec\""
+        val failure = decodeSettings("f.toml", text, EmulatorSettings.serializer()).getError()
+        assertEquals("lag", assertIs<SettingsFailure.InvalidValue>(failure).key)
+        assertContains(failure.message, "write a number and one of the units")
+    }
+
     private fun start(settings: EmulatorSettings) = startEmulator(settings, "test", systemClock(), SILENT).unwrap()
 
     private fun get(
