Show that a broken lease is noticed

With the refusal to vote beside a live leader switched off, 300 random histories found nothing, because a follower that misses records cannot win. In an idle group, a follower that is cut off from the leader alone wins within the lease; the check notices it, and with the refusal on there is no such election.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Elections.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Elections.kt
@@ -92,7 +92,7 @@
 
 private fun ReplicaStep.hearsLeader(): Boolean {
     val heardAt = leading?.contactAt ?: state.leaderHeardAt
-    return now - heardAt < settings.electionTimeoutMinimum
+    return safeguards.respectLeases && now - heardAt < settings.electionTimeoutMinimum
 }
 
 private fun ReplicaStep.isUpToDate(request: ReplicaMessage.VoteRequest): Boolean =
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaStep.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaStep.kt
@@ -157,6 +157,7 @@
     val ownTermCommits: Boolean = true,
     val confirmReads: Boolean = true,
     val compareLogs: Boolean = true,
+    val respectLeases: Boolean = true,
 )
 
 @OptIn(ExperimentalSerializationApi::class)
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/FaultDetectionTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/FaultDetectionTest.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.consensus.internal.Safeguards
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 
 /** Shows that the generated histories notice a missing mechanism: each is switched off and must lead to a violation. */
@@ -19,6 +20,18 @@
     fun `a replica that votes under the identity of its lost disk is noticed`() =
         expectViolations(Safeguards(), amnesia = true)
 
+    /** Random traffic hides it, because a follower that misses records cannot win; an idle group shows it. */
+    @Test
+    fun `an election within the lease of a leader is noticed`() =
+        listOf(true, false).forEach { respectLeases ->
+            val group = SimulatedGroup(seed = 17, safeguards = Safeguards(respectLeases = respectLeases))
+            group.settle()
+            val (leader, follower) = group.leader!!.name to group.followers().first()
+            group.cuts += setOf(leader to follower, follower to leader)
+            val violation = runCatching { group.run(20_000) }.exceptionOrNull()
+            assertEquals(!respectLeases, violation is Violation)
+        }
+
     /** Once with all checks, and once by the outcomes alone. */
     private fun expectViolations(
         safeguards: Safeguards,
