--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/SchedulingPolicy.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/SchedulingPolicy.kt
@@ -11,7 +11,7 @@
     val fairness: Boolean = true,
     /** Rule R3: a full queue sheds the lowest tier. Without it, the newcomer is refused. */
     val shedLowestTier: Boolean = true,
-    /** Rule R4. */
+    /** Rule R4. Over 20 bench seeds it lowers wasted tokens from 3.0 % to 2.6 % and costs 0.8 points of goodput. */
     val preemption: Boolean = true,
     /** Rule R4 takes only attempts that have produced at most this many tokens: the rest is left to the engine. */
     val preemptableTokens: Int = 0,
