End the accept loop of a link server quietly when it is closed

Cause: closing the server's socket ends a waiting accept with an exception that nothing caught, seen once as an uncaught ClosedChannelException.

--- a/link/src/main/kotlin/hawthorncrank/link/internal/ListeningServer.kt
+++ b/link/src/main/kotlin/hawthorncrank/link/internal/ListeningServer.kt
@@ -11,6 +11,7 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.isClosed
 import io.ktor.network.sockets.port
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -18,6 +19,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 
 internal class ListeningServer private constructor(
@@ -38,7 +40,7 @@
 
     private suspend fun acceptConnections() {
         while (true) {
-            val connection = socket.accept()
+            val connection = nextConnection() ?: return
             if (unauthenticated.incrementAndGet() > UNAUTHENTICATED_LIMIT) {
                 unauthenticated.decrementAndGet()
                 connection.close()
@@ -48,6 +50,15 @@
         }
     }
 
+    /** Returns null once the server is closed; closing the socket ends a waiting accept with an exception. */
+    private suspend fun nextConnection(): Socket? =
+        try {
+            socket.accept()
+        } catch (failure: IOException) {
+            if (!socket.isClosed) eventLog.record(LinkEventCode.LISTENER_FAILED, "error" to failure)
+            null
+        }
+
     private suspend fun serve(connection: Socket) {
         try {
             authenticate(connection)?.run()
