--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
@@ -9,7 +9,9 @@
     val joinInterval: Long = 1_000,
     /** A forwarded command or read without an answer is given up after this many milliseconds. */
     val forwardTimeout: Long = 5_000,
+    /** The fewest records between snapshots; a state larger than that many records waits for more. */
     val snapshotInterval: Long = 1_000,
+    val expectedRecordBytes: Long = 225,
     /** Records kept in memory behind a snapshot, so that a slightly late follower needs no snapshot. */
     val retainedRecords: Long = 200,
     val messageRecords: Int = 256,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
@@ -15,11 +15,20 @@
 
 internal fun ReplicaStep.captureSnapshotWhenDue() {
     val since = state.committedIndex - (state.snapshot?.lastIndex ?: 0)
-    if (state.capturing != null || since < settings.snapshotInterval) return
+    if (state.capturing != null || since < recordsBetweenSnapshots()) return
     state = state.copy(capturing = state.committedIndex)
     emit(ReplicaEffect.CaptureSnapshot(state.committedIndex))
 }
 
+/**
+ * A snapshot holds the whole state, so a fixed interval would write a large state for every few records. Waiting until
+ * the log is about as large as the last snapshot keeps the bytes written within twice those of the records.
+ */
+private fun ReplicaStep.recordsBetweenSnapshots(): Long {
+    val snapshotBytes = state.snapshot?.bytes?.size ?: 0
+    return maxOf(settings.snapshotInterval, snapshotBytes / settings.expectedRecordBytes)
+}
+
 internal fun ReplicaStep.receiveCapturedSnapshot(event: ReplicaEvent.SnapshotCaptured) {
     val term = state.log.term(event.index)
     if (event.index != state.capturing || term == null) return
