Let unstreamed answers take their time and spare the zone whole configurations

An engine sends the first byte of an answer that is not streamed when it is complete, so the bound on silence before the first byte cut off long answers. The bound is now the time left to the deadline, or 10 min without one.

An entry that heard of a higher version asked its neighbour for the whole at once, 2.2 MB at 12,000 organisations, although control was about to send 237 bytes. With an open control link it now asks after being behind for 3 s.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -1,10 +1,11 @@
 package hawthorncrank.entry.core.internal
 
 import hawthorncrank.entry.core.AttemptEnd
+import hawthorncrank.entry.core.CallerRequest
 import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.ResumePoint
 import hawthorncrank.entry.core.SilenceTimeouts
-import hawthorncrank.protocol.TrafficClass
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.routing.RoutedAttempt
 import hawthorncrank.scheduling.CapacityKind
@@ -63,7 +64,7 @@
             upstream = upstream.name,
             address = upstream.address,
             priority = priority,
-            timeouts = silenceTimeouts(trafficClass(request)),
+            timeouts = silenceTimeouts(request),
             deadlineMilliseconds = request.finishBy?.let { it - now },
             claimNumber = active.grantedClaim?.claimNumber,
             resume = resume,
@@ -72,15 +73,23 @@
     )
 }
 
-private fun silenceTimeouts(trafficClass: TrafficClass?): SilenceTimeouts {
-    val target = trafficClass?.firstToken?.value ?: 0
+private fun Reduction.silenceTimeouts(request: CallerRequest): SilenceTimeouts {
+    val target = trafficClass(request)?.firstToken?.value ?: 0
+    val firstByte = maxOf(target * TARGETS_OF_SILENCE, FIRST_BYTE_MILLISECONDS)
     return SilenceTimeouts(
         connect = CONNECT_MILLISECONDS,
-        firstByte = maxOf(target * TARGETS_OF_SILENCE, FIRST_BYTE_MILLISECONDS),
+        firstByte = if (request.wholeModelAnswer) maxOf(firstByte, timeForWholeAnswer(request)) else firstByte,
         betweenBytes = BETWEEN_BYTES_MILLISECONDS,
     )
 }
 
+/** An engine sends the first byte of an answer that is not streamed when it is complete; silence is no fault then. */
+private val CallerRequest.wholeModelAnswer: Boolean
+    get() = !streamed && target is RequestTarget.Model
+
+private fun Reduction.timeForWholeAnswer(request: CallerRequest): Long =
+    request.finishBy?.let { it - now } ?: WHOLE_ANSWER_MILLISECONDS
+
 /** Takes the attempt off its upstream's load. A cancelled attempt was taken off when it was cancelled. */
 internal fun Reduction.attemptReleased(
     attempt: RunningAttempt,
@@ -119,4 +128,5 @@
 private const val CONNECT_MILLISECONDS = 1_000L
 private const val FIRST_BYTE_MILLISECONDS = 10_000L
 private const val BETWEEN_BYTES_MILLISECONDS = 10_000L
+private const val WHOLE_ANSWER_MILLISECONDS = 600_000L
 private const val TARGETS_OF_SILENCE = 4
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
@@ -74,7 +74,7 @@
     if (notice.entry !in settings.zoneEntries) return
     // The newest notice counts, not the highest: a neighbour that restarted no longer holds what it held.
     configuration { it.copy(noticed = it.noticed.put(notice.entry, notice.version)) }
-    if (notice.version > state.configuration.held) askZone(notice.entry)
+    if (notice.version > state.configuration.held && !state.controlLink.open) askZone(notice.entry)
     applyDueVersions()
 }
 
@@ -177,20 +177,37 @@
 internal fun Reduction.configurationTick() {
     applyDueVersions()
     val current = state.configuration
-    val behind = !current.inForce || current.noticed.values.any { it > current.held }
-    val askedAt = current.askedAt
-    if (behind && (askedAt == null || now - askedAt >= QUESTION_MILLISECONDS)) askZone()
+    askWhenBehind()
     // Notices are repeated often while a version spreads and rarely afterwards, in case a link lost one.
     val pause = if (now - current.stagedAt < SPREADING_MILLISECONDS) NOTICE_MILLISECONDS else IDLE_NOTICE_MILLISECONDS
     if (current.held > 0 && now - current.noticedAt >= pause) notifyZone()
 }
 
+/**
+ * Neighbours answer with a whole configuration, megabytes at the planned size, while control sends a small change. So an
+ * entry with a control link asks the zone only when control has not caught up with the zone for a while.
+ */
+private fun Reduction.askWhenBehind() {
+    val current = state.configuration
+    val behind = !current.inForce || current.noticed.values.any { it > current.held }
+    if (!behind) {
+        if (current.behindSince != null) configuration { it.copy(behindSince = null) }
+        return
+    }
+    val since = current.behindSince ?: now
+    if (current.behindSince == null) configuration { it.copy(behindSince = since) }
+    val waitsForControl = current.inForce && state.controlLink.open && now - since < CONTROL_LEAD_MILLISECONDS
+    val askedAt = current.askedAt
+    if (!waitsForControl && (askedAt == null || now - askedAt >= QUESTION_MILLISECONDS)) askZone()
+}
+
 internal fun Reduction.configuration(change: (ConfigurationState) -> ConfigurationState) {
     state = state.copy(configuration = change(state.configuration))
 }
 
 private const val EXCEPTION_MILLISECONDS = 2_000L
 private const val QUESTION_MILLISECONDS = 1_000L
+private const val CONTROL_LEAD_MILLISECONDS = 3_000L
 private const val NOTICE_MILLISECONDS = 1_000L
 private const val IDLE_NOTICE_MILLISECONDS = 5_000L
 private const val SPREADING_MILLISECONDS = 10_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
@@ -18,6 +18,7 @@
     val stagedAt: Long = 0,
     val noticedAt: Long = 0,
     val askedAt: Long? = null,
+    val behindSince: Long? = null,
     val startedAt: Long? = null,
 ) {
     val inForce: Boolean
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RetriesTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RetriesTest.kt
@@ -16,6 +16,16 @@
         assertTrue(second.upstream != first.upstream && second.attemptNumber != first.attemptNumber)
     }
 
+    /** Guards against cutting off a long answer that is not streamed, which sends nothing before it is complete. */
+    @Test
+    fun `an answer that is not streamed may take until its deadline`() {
+        val scenario = Scenario()
+        val whole = scenario.model(1, streamed = false, finishBy = scenario.now + 90_000).start()
+        val streamed = scenario.model(2, finishBy = scenario.now + 90_000).start()
+        assertEquals(90_000, whole.timeouts.firstByte)
+        assertTrue(streamed.timeouts.firstByte < 90_000)
+    }
+
     @Test
     fun `a stream that breaks after its first byte ends with an error`() {
         val scenario = Scenario()
