Add scenarios for a change, dropped connections and a crashing request

Real processes: an accepted change is in force at every entry within 7 s, a second one on the same base is a conflict, and a restarted entry starts on the new version; streams resume on engines that drop their connections; a request that crashes engines is refused at three entries after at most 9 crashes.

--- a/endtoend/src/test/kotlin/hawthorncrank/endtoend/Call.kt
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/Call.kt
@@ -80,8 +80,9 @@
             className: String,
             number: Int,
             tokens: Int,
+            marker: String = "",
         ): HttpRequest {
-            val prompt = "request $number [length=$tokens]"
+            val prompt = "request $number $marker[length=$tokens]"
             val body = """{"model":"$model","stream":true,"messages":[{"role":"user","content":"$prompt"}]}"""
             return HttpRequest
                 .newBuilder(address.resolve("/v1/chat/completions"))
--- a/endtoend/src/test/kotlin/hawthorncrank/endtoend/Deployment.kt
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/Deployment.kt
@@ -17,6 +17,10 @@
         tokens: Int,
     ): HttpRequest = Call.model(entry, organisation, model, className, number, tokens)
 
+    /** A call whose prompt holds the marker that crashes the sample's engine stand-ins. */
+    fun crashingCall(entry: URI): HttpRequest =
+        Call.model(entry, organisation, model, quickClass, number = 0, tokens = 50, marker = "#crash-the-engine#")
+
     fun serviceCall(
         entry: URI,
         key: String,
--- a/endtoend/src/test/kotlin/hawthorncrank/endtoend/Fleet.kt
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/Fleet.kt
@@ -63,6 +63,39 @@
         return operator.log()
     }
 
+    /** Proposes the sample configuration with a higher weight for its first organisation; 0 is the exit when accepted. */
+    fun proposeWeight(
+        weight: Int,
+        base: Int,
+        expectedExit: Int,
+    ): String {
+        val changed = "changed-$weight.toml"
+        samples.rewrite("configuration.toml", changed) { it.replaceFirst(Regex("weight = \\d+"), "weight = $weight") }
+        val arguments = arrayOf("configuration", "propose", changed, "--base", "$base", "--reason", "a higher weight")
+        return operate(*arguments, expectedExit = expectedExit)
+    }
+
+    /** The configuration version that the entry's metrics say is in force. */
+    fun versionAt(entry: String): Int? {
+        val metrics = get(samples.address("$entry.toml", "operations_address"), "/metrics")
+        val gauge = Regex("""(?m)^hawthorncrank_configuration_version(?:\{[^}]*})? ([0-9.]+)$""").find(metrics)
+        return gauge
+            ?.groupValues
+            ?.get(1)
+            ?.toDouble()
+            ?.toInt()
+    }
+
+    /** Sets a fault of an engine stand-in. */
+    fun injectFault(
+        engine: String,
+        fault: String,
+    ) {
+        val address = URI("http://${engines().getValue(engine)}/admin/faults")
+        val request = HttpRequest.newBuilder(address).POST(HttpRequest.BodyPublishers.ofString(fault)).build()
+        assertEquals(HTTP_OK, client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode())
+    }
+
     fun get(
         address: String,
         path: String,
--- a/endtoend/src/test/kotlin/hawthorncrank/endtoend/FleetSteps.kt
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/FleetSteps.kt
@@ -108,6 +108,59 @@
         call.await()
     }
 
+    @When("the engines {string}, {string} and {string} drop their connections")
+    fun dropConnections(
+        first: String,
+        second: String,
+        third: String,
+    ) = listOf(first, second, third).forEach { fleet.injectFault(it, """{"drop_connections":true}""") }
+
+    @When("a caller sends a request that crashes engines to entries {int}, {int} and {int} until it is refused")
+    fun sendCrashingRequest(
+        first: Int,
+        second: Int,
+        third: Int,
+    ) = listOf(first, second, third).forEach { entry ->
+        eventually("entry $entry refuses the request that crashes engines") {
+            Call.send(deployment.crashingCall(fleet.entry(entry))).await().status == HTTP_REFUSED_CONTENT
+        }
+    }
+
+    /** Three entries may lose three engines each before the conviction of one has reached the others. */
+    @Then("at most {int} engines crashed")
+    fun boundedCrashes(limit: Int) {
+        val crashes = (1..3).sumOf { fleet.program("emulator-$it").count("engine stand-in crashed") }
+        assertTrue(crashes in 1..limit, "$crashes engines crashed")
+    }
+
+    @When("the operator changes the weight of an organisation on base {int}")
+    fun changeWeight(base: Int) {
+        fleet.proposeWeight(weight = 7, base, expectedExit = 0)
+    }
+
+    @Then("version {int} is in force at every entry within {int} s")
+    fun versionEverywhere(
+        version: Int,
+        seconds: Int,
+    ) = eventually("version $version is in force everywhere", seconds) {
+        (1..3).all { fleet.versionAt("entry-$it") == version }
+    }
+
+    @Then("a second change on base {int} is refused as a conflict")
+    fun conflictingChange(base: Int) {
+        val output = fleet.proposeWeight(weight = 8, base, expectedExit = 1)
+        assertTrue("the current version is 2" in output, output)
+    }
+
+    @Then("{string} is ready with version {int} in force")
+    fun readyWithVersion(
+        entry: String,
+        version: Int,
+    ) {
+        fleet.awaitReady(entry)
+        assertEquals(version, fleet.versionAt(entry))
+    }
+
     @Then("every caller has the whole answer to its own request")
     fun allWhole() = calls.forEach { assertWhole(it) }
 
@@ -220,6 +273,7 @@
         const val HTTP_OK = 200
         const val HTTP_CREATED = 201
         const val HTTP_CONFLICT = 409
+        const val HTTP_REFUSED_CONTENT = 422
         const val HTTP_UNAVAILABLE = 503
         const val NEW_NUMBER = 1_000_000
         const val ERROR_EVENT = "event: error"
--- a/endtoend/src/test/kotlin/hawthorncrank/endtoend/Program.kt
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/Program.kt
@@ -45,6 +45,9 @@
         return running.exitValue()
     }
 
+    /** How many lines of the output hold [text]. */
+    fun count(text: String): Int = output.readText().lineSequence().count { text in it }
+
     fun log(): String = if (output.exists()) output.readText().takeLast(LOG_CHARACTERS) else ""
 
     private companion object {
--- a/endtoend/src/test/kotlin/hawthorncrank/endtoend/SampleFolder.kt
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/SampleFolder.kt
@@ -34,6 +34,13 @@
             .findAll(path.resolve("configuration.toml").readText())
             .associate { it.groupValues[1] to it.groupValues[2] }
 
+    /** Writes a changed copy of [file] beside it. */
+    fun rewrite(
+        file: String,
+        copy: String,
+        change: (String) -> String,
+    ) = path.resolve(copy).writeText(change(path.resolve(file).readText()))
+
     private fun port(match: MatchResult): Int = freePorts.getValue(match.groupValues[1])
 
     private fun ports(text: String): List<String> = ADDRESS.findAll(text).map { it.groupValues[1] }.toList()
--- a/endtoend/src/test/resources/features/failures.feature
+++ b/endtoend/src/test/resources/features/failures.feature
@@ -30,3 +30,27 @@
     Given a running fleet of "caroni"
     When a booking with key "lost-entry" is sent to entry 1, which is killed once the booking runs
     Then a resend of key "lost-entry" to entry 2 never runs it again
+
+  Scenario: An accepted change is in force everywhere within 7 s and survives a restart
+    Given a running fleet of "caroni"
+    When the operator changes the weight of an organisation on base 1
+    Then version 2 is in force at every entry within 7 s
+    And a second change on base 1 is refused as a conflict
+    When "control-3" is killed
+    And "entry-2" is killed
+    And "entry-2" is started again
+    Then "entry-2" is ready with version 2 in force
+
+  Scenario: Streams resume on engines that drop their connections
+    Given a running fleet of "caroni"
+    When 30 callers stream answers of 200 tokens in class "fault-guess" through entry 1
+    And the engines "assistant-1", "assistant-2" and "assistant-3" drop their connections
+    Then every caller has the whole answer to its own request
+
+  Scenario: A request that crashes engines is refused and harms nobody else
+    Given a running fleet of "caroni"
+    When 30 callers stream answers of 200 tokens in class "fault-guess" through all entries
+    And a caller sends a request that crashes engines to entries 1, 2 and 3 until it is refused
+    Then at most 9 engines crashed
+    And every caller has the whole answer or a true statement
+    And a new stream through entry 1 is whole
