Wait for the stream itself in the test of a planned stop

Cause: the test polled the engine's load in a tight loop for one running request, a window of some 300 ms. The test now reads the first byte of a longer stream and then asks for the stop.

--- a/entry/src/test/kotlin/hawthorncrank/entry/EntryWithEngineTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/EntryWithEngineTest.kt
@@ -21,7 +21,10 @@
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
 import hawthorncrank.protocol.WireMessage
-import java.util.concurrent.CompletableFuture
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -100,14 +103,20 @@
     @Test
     fun `a stop waits for the stream in flight`() {
         awaitReady()
-        val body = """{"model":"m","stream":true,"messages":[{"role":"user","content":"knots [length=300]"}]}"""
-        val answer = CompletableFuture.supplyAsync { post("/v1/chat/completions", body) }
-        while (!exchange(emulator.port("engine-1"), "GET", "/load").body.contains("\"running\":1")) Thread.onSpinWait()
-        val bodyAtStop = CompletableFuture<String>()
-        entry.stop { bodyAtStop.complete(answer.getNow(null)?.body ?: "cut off") }
-        answer.join()
-        assertContains(answer.join().body, "[DONE]")
-        bodyAtStop.get(10, TimeUnit.SECONDS)
+        val body = """{"model":"m","stream":true,"messages":[{"role":"user","content":"knots [length=3000]"}]}"""
+        val request =
+            HttpRequest
+                .newBuilder(URI("http://127.0.0.1:${entry.httpPort}/v1/chat/completions"))
+                .header(AUTHORIZATION.substringBefore(": "), AUTHORIZATION.substringAfter(": "))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build()
+        val stream = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofInputStream()).body()
+        val first = stream.read()
+        val finished = CountDownLatch(1)
+        entry.stop { finished.countDown() }
+        val answer = first.toChar() + stream.readAllBytes().decodeToString()
+        assertContains(answer, "[DONE]")
+        assertTrue(finished.await(20, TimeUnit.SECONDS))
     }
 
     private fun awaitReady() {
