Resume every stream whose connection was lost

Cause: resumes were charged to the retry budget, 10 % of successes plus 3, so when engines dropped their connections only the first streams resumed and the others ended with an error event: seen with 30 streams over 3 engines on a fresh fleet. Ruled out: the resume itself; the first ones were whole. A lost connection is a crash, whose innocent requests are not charged elsewhere either; at most 5 attempts a request still bound the work. A resume after silence stays charged.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
@@ -119,7 +119,7 @@
     if (engine == null || !mayResume(delivered, engine, end)) {
         return breakStream(delivered, "the upstream broke off the answer")
     }
-    state = state.copy(budget = state.budget.retried(active.request.target.label, now))
+    if (end.chargesResume) state = state.copy(budget = state.budget.retried(active.request.target.label, now))
     explain(active.number, "resumes its stream on ${engine.name} after $bytes bytes")
     resumeAttempt(delivered, engine, ResumePoint(attempt.number, bytes))
 }
@@ -136,9 +136,16 @@
         active.attempts < ATTEMPTS_LIMIT &&
         !isLeaving(engine) &&
         mayRun(active.request.contentDigest) &&
-        state.budget.allows(active.request.target.label, now)
+        (!end.chargesResume || state.budget.allows(active.request.target.label, now))
 }
 
+/**
+ * A lost connection is a crash, whose innocent requests are not charged: an engine that drops all its connections would
+ * otherwise cut off every stream beyond the budget. A silent engine may hang again, so resuming there is charged.
+ */
+private val AttemptEnd.chargesResume: Boolean
+    get() = this !is AttemptEnd.Broken
+
 private fun bytesOf(
     attempt: RunningAttempt,
     end: AttemptEnd,
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RetriesTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RetriesTest.kt
@@ -48,6 +48,17 @@
         assertEquals(1, failed.of<EntryEffect.BreakStream>().size)
     }
 
+    /** Guards against streams that are cut off because an engine dropped more connections than the budget allows. */
+    @Test
+    fun `all streams whose engines dropped their connections resume`() {
+        val scenario = Scenario((1..12).map { engine("e$it", resumes = true) })
+        val starts = (1L..12L).map { scenario.model(it).start() }
+        starts.forEach { scenario.send(EntryEvent.AttemptFirstByte(it.attemptNumber)) }
+        val resumed = starts.map { scenario.end(it.attemptNumber, broken(bytes = 40)).start() }
+        assertEquals(starts.map { it.upstream }, resumed.map { it.upstream })
+        assertTrue(resumed.all { it.resume?.bytesDelivered == 40L })
+    }
+
     @Test
     fun `retries stop when the budget is used up`() {
         val scenario = Scenario((1..20).map { engine("e$it") })
