--- a/common/src/main/kotlin/hawthorncrank/common/KeyHash.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/KeyHash.kt
@@ -3,6 +3,7 @@
 import java.security.MessageDigest
 import java.security.SecureRandom
 import java.util.Base64
+import java.util.HexFormat
 import javax.crypto.SecretKeyFactory
 import javax.crypto.spec.PBEKeySpec
 
@@ -28,16 +29,26 @@
         return "$SCHEME$$iterations$${encoder.encodeToString(salt)}$${encoder.encodeToString(hash)}"
     }
 
+    /**
+     * The stored form of a key that is random by contract. Such a key cannot be guessed, so an unsalted fast digest keeps it
+     * as safe as a slow hash, and an entry finds its organisation by one look-up.
+     */
+    fun digest(key: String): String = DIGEST_PREFIX + HexFormat.of().formatHex(sha256(key))
+
+    /** Whether [text] has the form that [digest] produces. */
+    fun isDigest(text: String): Boolean = DIGEST.matches(text)
+
     /** Whether [text] has the form that [hash] produces and an iteration count within the accepted range. */
-    fun isWellFormed(text: String): Boolean = parse(text) != null
+    fun isWellFormed(text: String): Boolean = parse(text) != null || isDigest(text)
 
     /** Compares in constant time. A malformed [text] matches no key. */
     fun verify(
         key: String,
         text: String,
     ): Boolean {
-        val parsed = parse(text) ?: return false
         if (key.isEmpty()) return false
+        if (isDigest(text)) return MessageDigest.isEqual(digest(key).toByteArray(), text.toByteArray())
+        val parsed = parse(text) ?: return false
         return MessageDigest.isEqual(derive(key, parsed.salt, parsed.iterations), parsed.hash)
     }
 
@@ -76,6 +87,10 @@
         val hash: ByteArray,
     )
 
+    private fun sha256(key: String): ByteArray = MessageDigest.getInstance("SHA-256").digest(key.toByteArray())
+
+    private const val DIGEST_PREFIX = "sha256$"
+    private val DIGEST = Regex("sha256\\$[0-9a-f]{64}")
     private const val SCHEME = "pbkdf2"
     private const val PARTS = 4
     private const val SALT_BYTES = 16
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
@@ -20,6 +20,13 @@
     val pipelineMessages: Int = 8,
     val waitingCommands: Int = 10_000,
     val commandBytes: Int = 512 * 1_024,
+    /**
+     * With a number here, the leader admits replicas that no member is named after: up to so many voters, and beyond that
+     * in the place of a voter that has been silent for [lostMilliseconds]. Without one, members are named by operators.
+     */
+    val targetVoters: Int? = null,
+    /** Long enough for a restart after a crash, so that a voter on its way back keeps its place. */
+    val lostMilliseconds: Long = 3_000,
 )
 
 data class ReplicaPeer(
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
@@ -69,16 +69,35 @@
     val membership = state.membership
     val voter = membership.voters.find { it.name == sender.name }
     val learner = membership.learners.find { it.member.name == sender.name }
-    val unknown = voter == null && learner == null || sender.identity in membership.retired
-    if (unknown || listOfNotNull(voter, learner?.member).any { isAlive(it.identity) }) {
-        record(ConsensusEvent.JOIN_IGNORED, "name" to sender.name, "identity" to sender.identity)
-        return
-    }
+    if (sender.identity in membership.retired) return ignoreJoin(sender)
+    if (voter == null && learner == null) return admitUnknown(sender)
+    if (listOfNotNull(voter, learner?.member).any { isAlive(it.identity) }) return ignoreJoin(sender)
     if (changeInProgress()) return
     val replaces = learner?.replaces ?: voter?.identity
     appendMembership(membership.withLearner(Learner(sender, replaces), learner))
 }
 
+private fun ReplicaStep.ignoreJoin(sender: ReplicaMember) =
+    record(ConsensusEvent.JOIN_IGNORED, "name" to sender.name, "identity" to sender.identity)
+
+/** A replica that no member is named after fills a free place, or the place of a voter that is gone for good. */
+private fun ReplicaStep.admitUnknown(sender: ReplicaMember) {
+    val target = settings.targetVoters ?: return ignoreJoin(sender)
+    if (changeInProgress()) return
+    val membership = state.membership
+    val places = membership.voters.size + membership.learners.count { it.replaces == null }
+    val replaces = if (places < target) null else lostVoter()?.identity ?: return ignoreJoin(sender)
+    appendMembership(membership.withLearner(Learner(sender, replaces), null))
+}
+
+private fun ReplicaStep.lostVoter(): ReplicaMember? =
+    state.membership.voters.firstOrNull { voter ->
+        val progress = leading?.progress?.get(voter.identity)
+        progress != null &&
+            now - progress.answeredAt >= settings.lostMilliseconds &&
+            state.membership.learners.none { it.replaces == voter.identity }
+    }
+
 /** Two processes under one name are a mistake in the settings; the one that runs is not replaced. */
 private fun ReplicaStep.isAlive(identity: String): Boolean {
     val progress = leading?.progress?.get(identity) ?: return identity == state.self.identity
--- a/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
@@ -13,10 +13,12 @@
 import hawthorncrank.intents.LOWEST_TIER
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.RequestRoute
 import hawthorncrank.protocol.ServiceRoute
 import hawthorncrank.protocol.TrafficClass
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
+import hawthorncrank.protocol.routeClassName
 
 /** Finds what is wrong with a configuration; an empty list means that it may be accepted. */
 fun validateConfiguration(configuration: Configuration): List<ConfigurationFailure> {
@@ -27,6 +29,10 @@
         names("organisations", configuration.organisations.map { it.name }) +
         names("upstreams", configuration.upstreams.map { it.name }) +
         names("services", configuration.services.map { it.name }) +
+        names("routes", configuration.routes.map { it.name }) +
+        names("route_services", configuration.routeServices.map { it.name }) +
+        validateRoutes(configuration, classes) +
+        sharedKeys(configuration.organisations) +
         configuration.classes.flatMap(::validateClass) +
         configuration.organisations.flatMap { validateOrganisation(it, classes) } +
         configuration.upstreams.flatMap { validateUpstream(it, services) } +
@@ -38,9 +44,55 @@
     listOfNotNull(
         Missing("classes", "add at least one [[classes]] table").takeIf { configuration.classes.isEmpty() },
         Missing("organisations", "add at least one [[organisations]] table, or nobody may call")
-            .takeIf { configuration.organisations.isEmpty() },
+            .takeIf { configuration.organisations.isEmpty() && configuration.routes.none { it.anonymous } },
     )
 
+private fun validateRoutes(
+    configuration: Configuration,
+    classes: Set<String>,
+): List<ConfigurationFailure> {
+    val services = configuration.routeServices.mapTo(HashSet()) { it.name }
+    val places = HashSet<Pair<String, String>>()
+    val doubled = configuration.routes.filter { !places.add(it.host.lowercase() to it.pathPrefix) }
+    return doubled.map { DuplicateName("routes.path_prefix", "${it.host}${it.pathPrefix}") } +
+        configuration.routes.flatMap { validateRoute(it, services, classes) }
+}
+
+private fun validateRoute(
+    item: RequestRoute,
+    services: Set<String>,
+    classes: Set<String>,
+): List<ConfigurationFailure> {
+    val field = "routes.${item.name}"
+    val className = routeClassName(item.serviceLevel, item.tier)
+    return listOfNotNull(
+        InvalidValue("$field.path_prefix", "\"${item.pathPrefix}\" is not a prefix", "begin it with a slash")
+            .takeIf { !item.pathPrefix.startsWith("/") },
+        UnknownReference("$field.service_level", className, "class").takeIf { className !in classes },
+        InvalidValue("$field.destinations", "the weights add up to nothing", "give a destination a positive weight")
+            .takeIf { item.destinations.none { it.weight > 0 } },
+    ) +
+        item.destinations.map { it.service }.filter { it !in services }.map {
+            UnknownReference("$field.destinations", it, "route service")
+        } +
+        range("$field.engine_attempts", item.engineAttempts, 1, MAXIMUM_SLOTS)
+}
+
+private fun sharedKeys(organisations: List<Organisation>): List<ConfigurationFailure> {
+    val owners = HashMap<String, String>()
+    return organisations.flatMap { organisation ->
+        organisation.keyHashes.filter { KeyHash.isDigest(it) }.mapNotNull { hash ->
+            owners.put(hash, organisation.name)?.takeIf { it != organisation.name }?.let {
+                InvalidValue(
+                    "organisations.${organisation.name}.api_key_hashes",
+                    "organisation \"$it\" has the same key",
+                    "give each organisation keys of its own",
+                )
+            }
+        }
+    }
+}
+
 private fun names(
     field: String,
     names: List<String>,
--- a/control/src/main/kotlin/hawthorncrank/control/Control.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/Control.kt
@@ -11,12 +11,24 @@
 import hawthorncrank.consensus.replicaStorage
 import hawthorncrank.control.internal.ControlProcess
 import hawthorncrank.control.internal.storageFailure
+import hawthorncrank.protocol.OperatorAnswer
+import hawthorncrank.protocol.OperatorCommand
 import java.nio.file.Path
 
 /** A running control replica. Closing it syncs what is under way and ends its links. */
 interface Control : AutoCloseable {
     val linkPort: Int
     val httpPort: Int
+
+    /**
+     * Carries out a command of an operator whom the caller has authenticated. [answer] is called once, on the control
+     * thread, and must not block.
+     */
+    fun operate(
+        operator: String,
+        command: OperatorCommand,
+        answer: (OperatorAnswer) -> Unit,
+    )
 }
 
 /**
@@ -30,11 +42,12 @@
     log: EventLog,
     failed: () -> Unit,
 ): Result<Control, SettingsFailure> {
-    settings.firstFailure(file)?.let { return Err(it) }
+    val effective = settings.withDiscoveredReplicas()
+    effective.firstFailure(file)?.let { return Err(it) }
     val storage = replicaStorage(Path.of(settings.dataFolder))
     return storage
         .open()
         .mapError { storageFailure(file, settings, it) }
-        .andThen { recovered -> ControlProcess(settings, file, clock, log, storage, recovered, failed).open() }
+        .andThen { recovered -> ControlProcess(effective, file, clock, log, storage, recovered, failed).open() }
         .onFailure { storage.close() }
 }
--- a/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
@@ -39,6 +39,15 @@
         val stagedParts: Int = 0,
     ) : ControlOperation
 
+    /** Puts the version in force that the operator numbered in [delta], unless a higher one is. */
+    @Serializable
+    @SerialName("replace")
+    data class ReplaceConfiguration(
+        val delta: ConfigurationDelta,
+        val document: OperatorDocument,
+        val stagedParts: Int = 0,
+    ) : ControlOperation
+
     /** One part of a change that is too large for one record. It takes effect with the command named [change]. */
     @Serializable
     @SerialName("part")
--- a/control/src/main/kotlin/hawthorncrank/control/ControlRecords.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlRecords.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
 
 /** Who changed what, when and why. */
@@ -96,6 +97,16 @@
     val lifted: Boolean = false,
 )
 
+/** What an operator wrote, byte for byte. */
+@Serializable
+class OperatorDocument(
+    @ByteString val bytes: ByteArray,
+) {
+    override fun equals(other: Any?): Boolean = other is OperatorDocument && bytes.contentEquals(other.bytes)
+
+    override fun hashCode(): Int = bytes.contentHashCode()
+}
+
 @Serializable
 enum class PlanStatus { PROPOSED, CONFIRMED, RETURNED, UNDONE }
 
--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.control
 
 import hawthorncrank.common.KeyHash
+import hawthorncrank.common.Milliseconds
 import hawthorncrank.common.SettingsFailure
 import hawthorncrank.common.SettingsFailure.InvalidValue
 import kotlinx.serialization.SerialName
@@ -21,9 +22,41 @@
     val httpAddress: String,
     @SerialName("fleet_key")
     val fleetKey: String,
-    val replicas: List<ReplicaSettingsEntry>,
+    val replicas: List<ReplicaSettingsEntry> = emptyList(),
     val operators: List<OperatorSettingsEntry> = emptyList(),
-)
+    val seeds: List<String> = emptyList(),
+    val bootstrap: Boolean = false,
+    @SerialName("tolerated_losses")
+    val toleratedLosses: Int? = null,
+    @SerialName("operator_address")
+    val operatorAddress: String? = null,
+    val heartbeat: Milliseconds? = null,
+    @SerialName("election_timeout")
+    val electionTimeout: Milliseconds? = null,
+) {
+    /** Whether the replicas find each other by [seeds] instead of being listed. */
+    val discovers: Boolean
+        get() = seeds.isNotEmpty()
+
+    /** A majority survives the losses with one replica more than twice as many; null where operators name the members. */
+    val voters: Int?
+        get() = toleratedLosses?.let { 2 * it + 1 }
+}
+
+/**
+ * The settings with the replicas that the seeds name. A seed is known by the address of its VM only: its link port is the
+ * same as this replica's, and its name is its link address.
+ */
+internal fun ControlSettings.withDiscoveredReplicas(): ControlSettings {
+    if (!discovers) return this
+    val port = linkAddress.substringAfterLast(':')
+    val found = seeds.map { "${it.substringBeforeLast(':')}:$port" } + linkAddress
+    return copy(name = linkAddress, replicas = found.distinct().map { ReplicaSettingsEntry(it, it) })
+}
+
+/** The replica that forms the group at the very first start: the first seed. All replicas are told the same seeds then. */
+internal val ControlSettings.formsGroup: Boolean
+    get() = bootstrap && seeds.firstOrNull()?.substringBeforeLast(':') == linkAddress.substringBeforeLast(':')
 
 /** A control replica and its link address; the list includes this one. */
 @Serializable
--- a/control/src/main/kotlin/hawthorncrank/control/ControlState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlState.kt
@@ -26,6 +26,7 @@
     val changedBy: String = "",
     val changedAtWallTime: Long = 0,
     val lastDelta: ConfigurationDelta? = null,
+    val document: OperatorDocument? = null,
     val stagedChanges: PersistentMap<String, StagedChange> = persistentMapOf(),
     val history: PersistentMap<Long, HistoryEntry> = persistentMapOf(),
     val nextHistoryNumber: Long = 1,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationOperations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationOperations.kt
@@ -27,14 +27,40 @@
         return refused("parts of the change are missing", "propose it again under a new command identifier")
             .copy(transient = true)
     }
-    val deltas = staged.toSortedMap().values + operation.delta
+    return unstaged.applied(staged.toSortedMap().values + operation.delta, operation.reason, context)
+}
+
+/**
+ * Takes over a version that an operator numbered. The highest version wins; one that is not above the current version is
+ * acknowledged and changes nothing. A change that another one overtook on its base is computed again by its proposer.
+ */
+internal fun ControlState.replaceConfiguration(
+    operation: ControlOperation.ReplaceConfiguration,
+    context: CommandContext,
+): Answered {
+    val change = context.command.identifier
+    val staged = stagedChanges[change]?.parts.orEmpty()
+    val unstaged = copy(stagedChanges = stagedChanges.remove(change))
+    val base = operation.delta.baseVersion
+    if (operation.delta.version <= version) return unstaged.accepted()
+    if (base != version || staged.size < operation.stagedParts) return unstaged.conflict(base).copy(transient = true)
+    val answered = unstaged.applied(staged.toSortedMap().values + operation.delta, "", context)
+    if (answered.answer !is OperatorAnswer.Accepted) return answered
+    return answered.copy(state = answered.state.copy(document = operation.document))
+}
+
+private fun ControlState.applied(
+    deltas: List<ConfigurationDelta>,
+    reason: String,
+    context: CommandContext,
+): Answered {
     val next = deltas.fold(configuration) { current, delta -> delta.applyTo(current) }
     val failures = validateConfiguration(next)
-    if (failures.isNotEmpty()) return unstaged.invalid(failures.map { it.problem }, failures.first().remedy)
+    if (failures.isNotEmpty()) return invalid(failures.map { it.problem }, failures.first().remedy)
     val whole = deltas.reduce(::joined)
-    return unstaged
+    return this
         .withConfiguration(next, whole, context)
-        .recorded(context, describeDelta(whole), operation.reason)
+        .recorded(context, describeDelta(whole), reason)
         .accepted(describeDelta(whole))
 }
 
@@ -52,11 +78,11 @@
     context: CommandContext,
 ): ControlState =
     copy(
-        version = version + 1,
+        version = delta.version,
         configuration = next,
         changedBy = context.command.by,
         changedAtWallTime = context.command.wallTime,
-        lastDelta = delta.copy(baseVersion = version, version = version + 1),
+        lastDelta = delta.copy(baseVersion = version),
     ).withoutRemovedUpstreams()
 
 internal fun ControlState.recorded(
@@ -106,6 +132,8 @@
     organisations = joined(first.organisations, second.organisations),
     upstreams = joined(first.upstreams, second.upstreams),
     services = joined(first.services, second.services),
+    routes = joined(first.routes, second.routes),
+    routeServices = joined(first.routeServices, second.routeServices),
     weightStore = second.weightStore ?: first.weightStore,
 )
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationProposals.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationProposals.kt
@@ -3,6 +3,7 @@
 import hawthorncrank.control.ControlCodec
 import hawthorncrank.control.ControlCommand
 import hawthorncrank.control.ControlOperation
+import hawthorncrank.control.OperatorDocument
 import hawthorncrank.control.validateConfiguration
 import hawthorncrank.protocol.ConfigurationDelta
 import hawthorncrank.protocol.NamedChanges
@@ -46,6 +47,32 @@
     propose(command.commandIdentifier, use.operator, operation, use.requester, lifetime, staged)
 }
 
+/**
+ * Proposes a whole configuration under the operator's own version. The difference is taken to the version that is current
+ * here; if another change comes first, the proposal is made again on that one.
+ */
+internal fun ControlStep.replaceConfiguration(
+    use: TicketUse.OperatorRead,
+    command: OperatorCommand.ReplaceConfiguration,
+) {
+    val current = state.control
+    val failures = validateConfiguration(command.configuration)
+    if (failures.isNotEmpty()) {
+        return answer(use.requester, current.invalid(failures.map { it.problem }, failures.first().remedy).answer)
+    }
+    if (command.version <= current.version) {
+        return answer(use.requester, OperatorAnswer.Accepted(current.version, emptyList()))
+    }
+    val next = command.configuration.canonical()
+    val parts = splitDelta(configurationDelta(current.version, current.configuration, command.version, next))
+    val identifier = "replace/${command.version}/${freshIdentifier()}"
+    val staged = parts.dropLast(1).mapIndexed { number, part -> ControlOperation.StageChange(identifier, number, part) }
+    val document = OperatorDocument(command.document)
+    val operation = ControlOperation.ReplaceConfiguration(parts.last(), document, staged.size)
+    val lifetime = (use.deadline - now).coerceAtLeast(MINIMUM_LIFETIME_MILLISECONDS)
+    propose(identifier, use.operator, operation, use.requester, lifetime, staged, use)
+}
+
 private fun ControlStep.isRemembered(command: OperatorCommand.ProposeConfiguration) =
     command.commandIdentifier in state.control.answers
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
@@ -22,6 +22,7 @@
 import hawthorncrank.protocol.ReplicaEnvelope
 import hawthorncrank.protocol.WireMessage
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
 
 /**
@@ -34,12 +35,13 @@
     private val log: EventLog,
     private val send: (ControlEvent) -> Unit,
 ) : AutoCloseable {
-    private val own = LinkSettings(LinkRole.REPLICA, settings.name, settings.fleetKey)
+    private val own = linkSettings(settings)
+    private val dialed = ConcurrentHashMap.newKeySet<String>()
     private val numbers = AtomicLong()
     private val byLink = ConcurrentHashMap<Link, Long>()
     private val byNumber = ConcurrentHashMap<Long, Link>()
     private val toReplicas = ConcurrentHashMap<String, Link>()
-    private val clients = ArrayList<LinkClient>()
+    private val clients = CopyOnWriteArrayList<LinkClient>()
     private var server: LinkServer? = null
 
     val port: Int get() = server?.port ?: 0
@@ -48,17 +50,29 @@
         linkServer(own, settings.linkAddress, ServerListener(), log, ACCEPTED_ROLES).map { server = it }
 
     fun connect() {
-        settings.replicas.filter { it.name != settings.name }.forEach { replica ->
-            linkClient(own, listOf(replica.address), ReplicaListener(replica.name), log)
-                .fold(success = { clients += it }, failure = { error(it.message) })
-        }
+        settings.replicas.filter { it.name != settings.name }.forEach { dial(it.name, it.address) }
+    }
+
+    private fun dial(
+        name: String,
+        address: String,
+    ) {
+        if (!dialed.add(name)) return
+        linkClient(own, listOf(address), ReplicaListener(name), log)
+            .fold(success = { clients += it }, failure = { error(it.message) })
     }
 
     fun sendToReplica(
         name: String,
         envelope: ReplicaEnvelope,
     ) {
-        toReplicas[name]?.send(envelope)
+        val link = toReplicas[name]
+        if (link != null) {
+            link.send(envelope)
+        } else if (settings.discovers) {
+            // Replicas that were discovered have their address as name; the message is repeated once the link is open.
+            dial(name, name)
+        }
     }
 
     fun sendToLink(
@@ -148,6 +162,19 @@
     }
 
     private companion object {
+        fun linkSettings(settings: ControlSettings): LinkSettings {
+            val plain = LinkSettings(LinkRole.REPLICA, settings.name, settings.fleetKey)
+            // Links may be silent for longer than a leader: closing one loses what is under way on it.
+            val heartbeat = settings.heartbeat?.let { it.value * 2 } ?: return plain
+            return plain.copy(
+                heartbeatMilliseconds = heartbeat,
+                silenceMilliseconds = heartbeat * HEARTBEATS_OF_SILENCE,
+                longestReconnectMilliseconds = heartbeat,
+            )
+        }
+
+        // As in the defaults: a link is closed after four missing heartbeats.
+        const val HEARTBEATS_OF_SILENCE = 4
         val ACCEPTED_ROLES = setOf(LinkRole.ENTRY, LinkRole.OPERATOR, LinkRole.REPLICA)
         val WRONG_CREDENTIAL =
             OperatorAnswer.Refused(
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -16,7 +16,10 @@
 import hawthorncrank.consensus.startReplica
 import hawthorncrank.control.Control
 import hawthorncrank.control.ControlSettings
+import hawthorncrank.control.formsGroup
 import hawthorncrank.link.LinkFailure
+import hawthorncrank.protocol.OperatorAnswer
+import hawthorncrank.protocol.OperatorCommand
 import reactor.netty.DisposableServer
 import java.security.SecureRandom
 import java.util.UUID
@@ -33,7 +36,10 @@
     private val failed: () -> Unit,
 ) : Control {
     private val replicaSettings =
-        ReplicaSettings(settings.replicas.filter { it.name != settings.name }.map { ReplicaPeer(it.name, it.address) })
+        replicaSettings(
+            settings,
+            settings.replicas.filter { it.name != settings.name }.map { ReplicaPeer(it.name, it.address) },
+        )
     private val replica = replicaReducer(replicaSettings)
     private val thread = controlThread(recovered)
     private val keys = OperatorKeys(settings.operators)
@@ -42,6 +48,7 @@
     private val orders = OrderClient(::expiry, thread::send)
     private val metrics = ControlMetrics { thread.state }
     private val closed = AtomicBoolean()
+    private val local = LocalOperators { thread.send(it) }
     private var server: DisposableServer? = null
 
     override val linkPort: Int get() = links.port
@@ -57,10 +64,20 @@
                 disk.start()
                 thread.start()
                 links.connect()
+                if (settings.formsGroup) local.operate("bootstrap", formation()) {}
                 log.record(ControlEventCode.STARTED, "replica" to settings.name, "zone" to settings.availabilityZone)
                 this
             }
 
+    override fun operate(
+        operator: String,
+        command: OperatorCommand,
+        answer: (OperatorAnswer) -> Unit,
+    ) = local.operate(operator, command, answer)
+
+    /** A replica that already belongs to a group refuses this. */
+    private fun formation() = OperatorCommand.FormGroup(listOf(thread.state.replica.self))
+
     override fun close() {
         if (!closed.compareAndSet(false, true)) return
         thread.send(ControlEvent.Stop)
@@ -83,6 +100,7 @@
                         nonce = UUID.randomUUID().toString(),
                         startedAt = now,
                         wallOffset = clock.wallTime() - now,
+                        requiredVoters = settings.voters ?: 1,
                     )
                 startedProcess(replica, state, transition.effects, now)
             }
@@ -96,7 +114,12 @@
         when (effect) {
             is ControlEffect.Persist, is ControlEffect.EncodeSnapshot -> disk.submit(effect)
             is ControlEffect.SendToReplica -> links.sendToReplica(effect.replica, effect.envelope)
-            is ControlEffect.SendToLink -> links.sendToLink(effect.link, effect.message)
+            is ControlEffect.SendToLink ->
+                if (effect.link == LocalOperators.LINK) {
+                    local.answered(effect.message)
+                } else {
+                    links.sendToLink(effect.link, effect.message)
+                }
             is ControlEffect.CloseLink -> links.closeLink(effect.link)
             is ControlEffect.PostOrder -> orders.post(effect)
             is ControlEffect.MeasureCommand -> metrics.measure(effect)
@@ -137,6 +160,21 @@
     }
 }
 
+private fun replicaSettings(
+    settings: ControlSettings,
+    peers: List<ReplicaPeer>,
+): ReplicaSettings {
+    val plain = ReplicaSettings(peers, targetVoters = settings.voters.takeIf { settings.discovers })
+    val heartbeat = settings.heartbeat?.value ?: plain.heartbeatInterval
+    val election = settings.electionTimeout?.value ?: plain.electionTimeoutMinimum
+    return plain.copy(
+        heartbeatInterval = heartbeat,
+        electionTimeoutMinimum = election,
+        // As in the defaults: the longest timeout is twice the shortest, so that elections rarely collide.
+        electionTimeoutMaximum = 2 * election,
+    )
+}
+
 internal fun storageFailure(
     file: String,
     settings: ControlSettings,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -27,6 +27,7 @@
                 REPEATED_COMMAND_MILLISECONDS,
             )
         is EntryToControl.SuspectReport -> suspect(event.entry, message)
+        is EntryToControl.ConfirmConfiguration -> question(event.link, message)
         is EntryToControl.EntryStatus -> status(event.link, message)
         is EntryToControl.ExplainAnswer -> explained(event.link, message)
     }
@@ -88,6 +89,15 @@
     propose(identifier, entry, operation, Requester.None, REPEATED_COMMAND_MILLISECONDS)
 }
 
+private fun ControlStep.question(
+    link: Long,
+    message: EntryToControl.ConfirmConfiguration,
+) {
+    val session = state.entryLinks[link] ?: return
+    state = state.copy(entryLinks = state.entryLinks.put(link, session.copy(question = message.question)))
+    confirmEntries(listOf(link))
+}
+
 private fun ControlStep.status(
     link: Long,
     status: EntryToControl.EntryStatus,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.Conviction
 import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.plus
 
 /*
@@ -56,7 +57,11 @@
     val confirmation = state.confirmation
     if (confirmation.ticket != null || confirmation.next.isEmpty() || now < confirmation.retryAt) return
     val ticket = ticket(TicketUse.ConfirmEntries)
-    state = state.copy(confirmation = Confirmation(ticket, current = confirmation.next))
+    val questions = confirmation.next.associateWith { state.entryLinks[it]?.question ?: 0 }.filterValues { it > 0 }
+    state =
+        state.copy(
+            confirmation = Confirmation(ticket, current = confirmation.next, questions = questions.toPersistentMap()),
+        )
     toReplica(ReplicaEvent.RequestRead(ticket))
 }
 
@@ -68,9 +73,12 @@
 }
 
 internal fun ControlStep.entriesConfirmed() {
-    val links = state.confirmation.current
+    val (_, links, _, questions) = state.confirmation
     state = state.copy(confirmation = state.confirmation.copy(ticket = null, current = persistentSetOf()))
     links.forEach(::sendConfirmed)
+    questions.forEach { (link, question) ->
+        send(link, ControlToEntry.ConfigurationConfirmed(question, state.control.version))
+    }
     startConfirmation()
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
@@ -35,6 +35,7 @@
 ): Answered =
     when (operation) {
         is ControlOperation.ChangeConfiguration -> changeConfiguration(operation, context)
+        is ControlOperation.ReplaceConfiguration -> replaceConfiguration(operation, context)
         is ControlOperation.ResolveClaim -> resolveClaim(operation, context)
         is ControlOperation.LiftConviction -> liftConviction(operation, context)
         is ControlOperation.Drain -> drain(operation, context)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/OperatorSessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/OperatorSessions.kt
@@ -23,7 +23,9 @@
         }
         OperatorCommand.Status -> answer(requester, OperatorAnswer.Report(statusLines()))
         is OperatorCommand.Explain -> ask(requester, command.requestNumber)
+        is OperatorCommand.ReplaceConfiguration -> replace(event, requester, command)
         OperatorCommand.ShowConfiguration,
+        OperatorCommand.ShowDocument,
         is OperatorCommand.ProposeConfiguration,
         is OperatorCommand.PlanIntent,
         is OperatorCommand.History,
@@ -32,6 +34,19 @@
     }
 }
 
+private fun ControlStep.replace(
+    event: ControlEvent.OperatorMessage,
+    requester: Requester.Operator,
+    command: OperatorCommand.ReplaceConfiguration,
+) {
+    val voters = state.replica.membership.voters.size
+    if (voters < state.requiredVoters) {
+        val problem = "the group has $voters of ${state.requiredVoters} voters"
+        return answer(requester, OperatorAnswer.Refused(problem, "send it again in a second", elsewhere = true))
+    }
+    read(TicketUse.OperatorRead(requester, event.operator, command, now + OPERATOR_MILLISECONDS))
+}
+
 private fun ControlStep.identity() =
     OperatorAnswer.ReplicaIdentity(state.replica.self, formed = state.replica.group != null)
 
@@ -76,6 +91,9 @@
     when (val command = use.command) {
         OperatorCommand.ShowConfiguration ->
             answer(use.requester, OperatorAnswer.CurrentConfiguration(control.version, control.configuration))
+        OperatorCommand.ShowDocument ->
+            answer(use.requester, OperatorAnswer.CurrentDocument(control.version, control.document?.bytes))
+        is OperatorCommand.ReplaceConfiguration -> replaceConfiguration(use, command)
         is OperatorCommand.History -> answer(use.requester, OperatorAnswer.Report(historyLines(command.newest)))
         is OperatorCommand.PlanIntent -> plan(use, command)
         is OperatorCommand.ProposeConfiguration -> proposeConfiguration(use, command)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -37,6 +37,8 @@
     val orderAttempts: PersistentMap<String, OrderAttempt> = persistentMapOf(),
     val dutiesAt: Long = 0,
     val stopping: Boolean = false,
+    /** Changes are refused until the group has so many voters, so that an early one does not rest on one disk. */
+    val requiredVoters: Int = 1,
 ) {
     /** This process's estimate of the replicated clock, which never runs ahead of real time. */
     fun clock(now: Long): Long = control.clock + (now - clockAppliedAt)
@@ -80,7 +82,7 @@
 
 /**
  * A command until it is applied here. It is proposed again under the same identifier while its fate is open, up to
- * [deadline]. [parts] go before it. [certain] says that no proposal so far can have been committed.
+ * [deadline]. [parts] go before it. [source] is computed again when another change overtakes it. [certain] says that no proposal so far can have been committed.
  */
 internal class PendingCommand(
     val identifier: String,
@@ -92,32 +94,41 @@
     val deadline: Long,
     val proposeAt: Long?,
     val certain: Boolean,
+    val source: TicketUse.OperatorRead? = null,
 ) {
     fun copy(
         requester: Requester = this.requester,
         deadline: Long = this.deadline,
         proposeAt: Long? = this.proposeAt,
         certain: Boolean = this.certain,
-    ) = PendingCommand(identifier, requester, by, operation, parts, arrivedAt, deadline, proposeAt, certain)
+    ) = PendingCommand(identifier, requester, by, operation, parts, arrivedAt, deadline, proposeAt, certain, source)
 }
 
-/** A linked entry. [heldVersion] is what it holds or has been sent; [confirmedVersion] what was sent as confirmed. */
+/**
+ * A linked entry. [heldVersion] is what it holds or has been sent; [confirmedVersion] what was sent as confirmed;
+ * [question] is its newest question for the newest version, 0 before the first.
+ */
 internal data class EntryLink(
     val entry: String,
     val availabilityZone: String,
     val openedAt: Long,
     val heldVersion: Long,
     val confirmedVersion: Long = 0,
+    val question: Long = 0,
     val status: EntryToControl.EntryStatus? = null,
     val statusAt: Long = 0,
     val behindSince: Long? = null,
 )
 
-/** Links that wait for the read under way, and links that wait for the next one because they came after its start. */
+/**
+ * Links that wait for the read under way, and links that wait for the next one because they came after its start.
+ * [questions] holds the entries' questions that the read under way answers.
+ */
 internal data class Confirmation(
     val ticket: Long? = null,
     val current: PersistentSet<Long> = persistentSetOf(),
     val next: PersistentSet<Long> = persistentSetOf(),
+    val questions: PersistentMap<Long, Long> = persistentMapOf(),
     val retryAt: Long = 0,
 )
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Proposals.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Proposals.kt
@@ -19,6 +19,7 @@
     requester: Requester,
     lifetime: Long,
     parts: List<ControlOperation.StageChange> = emptyList(),
+    source: TicketUse.OperatorRead? = null,
 ) {
     val known = state.pending[identifier]
     if (known != null) {
@@ -37,6 +38,7 @@
             now + lifetime,
             proposeAt = now,
             certain = true,
+            source = source,
         )
     state = state.copy(pending = state.pending.put(identifier, command))
     submit(identifier, command)
@@ -162,12 +164,21 @@
     result: CommandResult,
 ) {
     when (val requester = pending.requester) {
-        is Requester.Operator -> if (result is CommandResult.Operator) answer(requester, result.answer)
+        is Requester.Operator -> if (result is CommandResult.Operator) deliver(pending, requester, result.answer)
         is Requester.Entry -> entryAnswer(result)?.let { send(requester.link, it) }
         Requester.None -> Unit
     }
 }
 
+private fun ControlStep.deliver(
+    pending: PendingCommand,
+    requester: Requester.Operator,
+    answer: OperatorAnswer,
+) {
+    val source = pending.source?.takeIf { answer is OperatorAnswer.Conflict && now < it.deadline }
+    if (source == null) answer(requester, answer) else answerRead(source)
+}
+
 private fun entryAnswer(result: CommandResult): ControlToEntry? =
     when (result) {
         is CommandResult.Claimed -> ControlToEntry.ClaimAnswer(result.key, result.attemptIdentifier, result.decision)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
@@ -13,6 +13,19 @@
     val bodyBytes: Int,
     val streamed: Boolean,
     val finishBy: Long?,
+    val identifier: String = "",
+    val repetition: RepetitionRule? = null,
+)
+
+/**
+ * What the route of a request says of repeating it. Requests without a route follow their target: model calls are
+ * idempotent, and calls of services that are not need a claim on their key. [engineAttempts] bounds the upstreams to which
+ * the request may be sent.
+ */
+data class RepetitionRule(
+    val idempotent: Boolean,
+    val resumable: Boolean,
+    val engineAttempts: Int,
 )
 
 /** What a request asks for. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
@@ -53,6 +53,11 @@
         val leaving: Set<String>,
     ) : EntryEvent
 
+    /** The platform's list where it names the upstreams themselves. It replaces the one before. */
+    data class UpstreamsListed(
+        val upstreams: List<ListedUpstream>,
+    ) : EntryEvent
+
     /** The result of probing an upstream that was excluded. */
     data class ProbeAnswered(
         val upstream: String,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryReducer.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryReducer.kt
@@ -35,8 +35,8 @@
     val location = RouterLocation(settings.availabilityZone, settings.region)
     val entries = settings.zoneEntries.size
     return EntryState(
-        scheduler = scheduler(nothing),
-        router = router(nothing, location, entries, settings.randomSeed),
+        scheduler = scheduler(nothing, settings.behaviour.scheduling),
+        router = router(nothing, location, entries, settings.randomSeed, settings.behaviour.routing),
         zone = ZoneState(live = entries),
     )
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntrySettings.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntrySettings.kt
@@ -1,10 +1,15 @@
 package hawthorncrank.entry.core
 
-/** What an entry's own settings say that its decisions depend on. [zoneEntries] includes this entry's name. */
+/**
+ * What an entry's own settings say that its decisions depend on. [zoneEntries] includes this entry's name; [regions] gives
+ * the region of each availability zone in which listed upstreams may be.
+ */
 data class EntrySettings(
     val name: String,
     val availabilityZone: String,
     val region: String,
     val zoneEntries: List<String>,
     val randomSeed: Long,
+    val regions: Map<String, String> = emptyMap(),
+    val behaviour: EntryBehaviour = EntryBehaviour(),
 )
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.entry.core.internal.ControlLink
 import hawthorncrank.entry.core.internal.Explanations
 import hawthorncrank.entry.core.internal.MembershipState
+import hawthorncrank.entry.core.internal.ProofState
 import hawthorncrank.entry.core.internal.RequestsState
 import hawthorncrank.entry.core.internal.RetryBudget
 import hawthorncrank.entry.core.internal.StopState
@@ -33,6 +34,8 @@
     internal val controlLink: ControlLink = ControlLink(),
     internal val explanations: Explanations = Explanations(),
     internal val stop: StopState = StopState(),
+    internal val proof: ProofState = ProofState(),
+    internal val readyShown: Boolean = false,
     internal val statusSentAt: Long = 0,
     internal val queuesMeasuredAt: Long = 0,
 ) {
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
@@ -122,6 +122,21 @@
         override val remedy = "send the request again; it is idempotent"
     }
 
+    data object RunInterrupted : Refusal {
+        override val status = 502
+        override val outcome = StatedOutcome.UNKNOWN
+        override val problem = "the upstream broke off the call and may have run it"
+        override val remedy = "check with the service whether it ran before sending it again"
+    }
+
+    data object ConfigurationUnproved : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val retryAfterMilliseconds = 500L
+        override val problem = "this entry cannot be sure that its configuration is the newest"
+        override val remedy = "send the request again; the load balancer chooses another entry"
+    }
+
     data object Stopping : Refusal {
         override val status = 503
         override val outcome = StatedOutcome.NOT_RUN
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -15,7 +15,7 @@
     active: ActiveRequest,
     upstream: Upstream,
     priority: Int,
-) = start(active, upstream, priority, resume = null)
+) = start(active, upstream, priority, active.resume)
 
 /** Continues a broken stream. The scheduler still counts the request as running; only the router forgot it. */
 internal fun Reduction.resumeAttempt(
@@ -54,6 +54,7 @@
             phase = RequestPhase.Running(number),
             attempts = active.attempts + 1,
             startedAt = active.startedAt ?: now,
+            upstream = upstream.name,
         )
     update(started)
     explain(request.number, "was sent to ${upstream.name} as attempt $number with priority $priority")
@@ -68,7 +69,7 @@
             deadlineMilliseconds = request.finishBy?.let { it - now },
             claimNumber = active.grantedClaim?.claimNumber,
             resume = resume,
-            freshConnection = active.grantedClaim != null,
+            freshConnection = !request.isIdempotent,
         ),
     )
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -112,7 +112,10 @@
             if (end.phase == SilencePhase.CONNECT) connectFailed(name) else exclude(name, "it was silent")
 
         is AttemptEnd.Broken ->
-            if (upstream(name)?.kind == UpstreamKind.ENGINE) engineLost(attempt)
+            when {
+                !settings.behaviour.brokenConnectionIsCrash -> answerLost(name)
+                upstream(name)?.kind == UpstreamKind.ENGINE -> engineLost(attempt)
+            }
 
         is AttemptEnd.Completed -> {
             upstreamAnswered(name)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
@@ -163,7 +163,7 @@
     emit(EntryEffect.ConfigurationApplied(version, newConfiguration))
     notifyZone()
     configurationChanged()
-    if (first && !state.stop.requested) {
+    if (first && !state.stop.requested && settings.behaviour.proofLifetime == null) {
         emit(EntryEffect.ReadinessChanged(true, "configuration version $version is in force"))
     }
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
@@ -6,11 +6,12 @@
 
 /**
  * The configuration in force and the versions that wait for it. [noticed] holds the highest version that each neighbour
- * said to hold; [attested] the versions in the answers of neighbours that hold a configuration. Version 0 is none.
+ * said to hold; [effective] is the configuration with the upstreams that the platform lists; [attested] the versions in the answers of neighbours that hold a configuration. Version 0 is none.
  */
 internal data class ConfigurationState(
     val version: Long = 0,
     val configuration: Configuration = Configuration(),
+    val effective: Configuration = Configuration(),
     val staged: PersistentMap<Long, StagedVersion> = persistentMapOf(),
     val noticed: PersistentMap<String, Long> = persistentMapOf(),
     val attested: PersistentMap<String, Long> = persistentMapOf(),
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -19,6 +19,7 @@
         is EntryEvent.LoadReported -> loadReported(event.upstream, event.report)
         is EntryEvent.CacheChanged -> cacheChanged(event.upstream, event.change)
         is EntryEvent.MembershipReported -> membershipReported(event.live, event.leaving)
+        is EntryEvent.UpstreamsListed -> upstreamsListed(event.upstreams)
         is EntryEvent.ProbeAnswered -> probeAnswered(event.upstream, event.reachable)
         is EntryEvent.ControlMessageReceived -> controlMessageReceived(event.message)
         is EntryEvent.ZoneMessageReceived -> zoneMessageReceived(event.message)
@@ -29,6 +30,7 @@
     }
     updateEligibility()
     if (event !is EntryEvent.AttemptProgress && event !is EntryEvent.AttemptFirstByte) startWaiting()
+    showReadiness()
     terminateWhenEmpty()
 }
 
@@ -36,6 +38,7 @@
     when (message) {
         is ControlToEntry.ConfigurationUpdate -> stage(message.version, message.configuration, message.confirmed)
         is ControlToEntry.ConfigurationChange -> stageChange(message.delta, message.confirmed)
+        is ControlToEntry.ConfigurationConfirmed -> configurationConfirmed(message)
         is ControlToEntry.ClaimAnswer -> claimAnswered(message)
         is ControlToEntry.OutcomeRecorded -> outcomeRecorded(message.claimNumber)
         is ControlToEntry.ClaimAbandoned -> claimAbandoned(message.attemptIdentifier)
@@ -59,6 +62,7 @@
 private fun Reduction.controlLinkOpened() {
     state = state.copy(controlLink = ControlLink(open = true, number = state.controlLink.number + 1))
     greetControl()
+    askForProof()
     resendClaims()
     reportConvictionsAgain()
 }
@@ -66,6 +70,7 @@
 private fun Reduction.tick() {
     zoneTick()
     configurationTick()
+    proofTick()
     claimsTick()
     attemptsTick()
     requestsTick()
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
@@ -26,6 +26,7 @@
     OUTCOME_PENDING(1533, Level.WARN, "an answer was released before its outcome record was committed"),
     RETRY_REFUSED(1540, Level.WARN, "a request was not retried"),
     ATTEMPT_FAILED(1541, Level.INFO, "an attempt ended without a whole answer"),
+    REQUEST_ENDED(1542, Level.INFO, "a request ended"),
     STOP_REQUESTED(1550, Level.INFO, "the entry accepts nothing new and finishes what it has"),
     STOP_FINISHED(1551, Level.INFO, "nothing is in flight and the entry ends"),
     STOP_LEFT_RECORDS(1552, Level.ERROR, "the entry ends with claim records that control has not acknowledged"),
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -1,9 +1,13 @@
 package hawthorncrank.entry.core.internal
 
 import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.ListedUpstream
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.UpstreamKind
 import hawthorncrank.protocol.ZoneMessage
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 
 /**
@@ -26,7 +30,7 @@
 }
 
 internal fun Reduction.upstream(name: String): Upstream? =
-    state.configuration.configuration.upstreams
+    state.configuration.effective.upstreams
         .firstOrNull { it.name == name }
 
 internal fun Reduction.membershipReported(
@@ -69,9 +73,54 @@
     val observation = state.membership.observed[name] ?: Observation()
     val failures = observation.connectFailures + 1
     observe(name, observation.copy(connectFailures = failures))
-    if (failures >= CONNECT_FAILURES_TO_EXCLUDE) exclude(name, "$failures consecutive connect failures")
+    if (failures < settings.behaviour.connectFailuresToExclude) return
+    exclude(name, "$failures consecutive connect failures")
 }
 
+/** One lost answer may be the fault of a connection; several in a row, with no whole answer between, are the upstream's. */
+internal fun Reduction.answerLost(name: String) {
+    val observation = state.membership.observed[name] ?: Observation()
+    val lost = observation.lostAnswers + 1
+    observe(name, observation.copy(lostAnswers = lost))
+    if (lost >= LOST_ANSWERS_TO_EXCLUDE) exclude(name, "$lost answers in a row were lost")
+}
+
+/** Takes over the platform's list. Work that runs on an upstream that is gone from it goes on. */
+internal fun Reduction.upstreamsListed(listed: List<ListedUpstream>) {
+    if (state.membership.live != null && listed == state.membership.listed) return
+    membership { it.copy(listed = listed.toPersistentList()) }
+    upstreamsChanged()
+    val leaving = listed.filter { it.leaving }.map { it.name }
+    membershipReported(listed.map { it.name }.toSet(), leaving.toSet())
+}
+
+/** The listed upstreams whose service the configuration knows, next to those that it names itself. */
+internal fun Reduction.refreshUpstreams() {
+    val configured = state.configuration.configuration
+    val services = configured.routeServices.associateBy { it.name }
+    val listed =
+        state.membership.listed.mapNotNull { item -> services[item.service]?.let { upstreamOf(item, it) } }
+    val effective = if (listed.isEmpty()) configured else configured.copy(upstreams = configured.upstreams + listed)
+    configuration { it.copy(effective = effective) }
+}
+
+private fun Reduction.upstreamOf(
+    listed: ListedUpstream,
+    service: RouteService,
+): Upstream =
+    Upstream(
+        name = listed.name,
+        kind = if (service.servesModels) UpstreamKind.ENGINE else UpstreamKind.SERVICE,
+        address = listed.address,
+        availabilityZone = listed.availabilityZone,
+        // A zone that the settings do not know counts as a region of its own, so that it is used last.
+        region = settings.regions[listed.availabilityZone] ?: listed.availabilityZone,
+        models = if (service.servesModels) listOf(service.name) else emptyList(),
+        service = if (service.servesModels) null else service.name,
+        slots = listed.slots,
+    )
+
+
 internal fun Reduction.upstreamAnswered(name: String) {
     val observation = state.membership.observed[name] ?: return
     if (observation.excluded == null) membership { it.copy(observed = it.observed.remove(name)) }
@@ -149,7 +198,7 @@
 /** Forgets upstreams that are no longer configured. */
 internal fun Reduction.pruneMembership() {
     val names =
-        state.configuration.configuration.upstreams
+        state.configuration.effective.upstreams
             .map { it.name }
             .toSet()
     membership {
@@ -169,7 +218,7 @@
     state = state.copy(membership = change(state.membership))
 }
 
-private const val CONNECT_FAILURES_TO_EXCLUDE = 3
+private const val LOST_ANSWERS_TO_EXCLUDE = 3
 private const val FIRST_PROBE_MILLISECONDS = 1_000L
 private const val LONGEST_BACKOFF_MILLISECONDS = 30_000L
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
@@ -1,7 +1,10 @@
 package hawthorncrank.entry.core.internal
 
+import hawthorncrank.entry.core.ListedUpstream
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 
@@ -11,6 +14,7 @@
  */
 internal data class MembershipState(
     val live: PersistentSet<String>? = null,
+    val listed: PersistentList<ListedUpstream> = persistentListOf(),
     val leaving: PersistentSet<String> = persistentSetOf(),
     val drained: PersistentSet<String> = persistentSetOf(),
     val drainRevision: Long = -1,
@@ -22,6 +26,7 @@
 /** What this entry saw of an upstream. [excluded] is set while it gets no work and is probed instead. */
 internal data class Observation(
     val connectFailures: Int = 0,
+    val lostAnswers: Int = 0,
     val excluded: Exclusion? = null,
 )
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
@@ -86,7 +86,7 @@
     val suspect = state.suspects.isSuspect(digest, now)
     val evidence = suspect || state.suspects.enginesLost(digest) > 0 || running.any { it.contentDigest == digest }
     val candidates =
-        state.configuration.configuration.upstreams
+        state.configuration.effective.upstreams
             .filter { serves(it, active.request.target) }
     val barred =
         if (evidence) candidates.map { it.name }.filterNot { mayRunOn(digest, it, running) }.toSet() else emptySet()
@@ -179,7 +179,7 @@
     }
 
 internal fun Reduction.anyUpstreamMayGetWork(target: RequestTarget): Boolean =
-    state.configuration.configuration.upstreams
+    state.configuration.effective.upstreams
         .any { serves(it, target) && mayGetWork(it) }
 
 /** A request whose class was removed from the configuration after it arrived finishes after all others. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -16,8 +16,8 @@
     val refusal = refusalOnArrival(request)
     when {
         refusal != null -> refuse(active, refusal)
-        request.isIdempotent -> enqueue(active)
-        else -> askForClaim(active)
+        request.needsClaim -> askForClaim(active)
+        else -> enqueue(active)
     }
 }
 
@@ -26,12 +26,13 @@
     val organisation = configuration.organisations.firstOrNull { it.name == request.organisation }
     val permitted = organisation != null && request.className in organisation.classes && trafficClass(request) != null
     return when {
-        state.stop.requested -> Refusal.Stopping
+        stopRefuses() -> Refusal.Stopping
         !state.configuration.inForce -> Refusal.NoUpstream(request.target.label)
+        !proofHolds -> Refusal.ConfigurationUnproved
         !permitted -> Refusal.NotPermitted(request.className)
         !mayRun(request.contentDigest) -> Refusal.Convicted(request.contentDigest)
-        configuration.upstreams.none { serves(it, request.target) } -> Refusal.NoUpstream(request.target.label)
-        !request.isIdempotent && idempotencyKey(request).isEmpty() -> Refusal.KeyMissing
+        state.configuration.effective.upstreams.none { serves(it, request.target) } -> Refusal.NoUpstream(request.target.label)
+        request.needsClaim && idempotencyKey(request).isEmpty() -> Refusal.KeyMissing
         else -> null
     }
 }
@@ -46,11 +47,13 @@
     refusal: Refusal,
 ) {
     if (active.number !in state.requests.active) return
+    if (active.answerBegan && active.request.repetition != null) return breakStream(active, refusal.problem)
     if (active.waiting) giveUpClaim(active)
     val stated = if (active.mayHaveRun && rules.refusalsStateTheTruth) refusal.afterAttempt() else refusal
     explain(active.number, "was refused with status ${stated.status}: ${stated.problem}")
+    val explained = active.copy(reason = stated.problem)
     if (!active.callerLeft) emit(EntryEffect.RefuseCaller(active.number, stated))
-    finish(active, if (active.mayHaveRun) RequestResult.INTERRUPTED else RequestResult.REFUSED)
+    finish(explained, if (active.mayHaveRun) RequestResult.INTERRUPTED else RequestResult.REFUSED)
 }
 
 /** Ends a request whose answer has begun at its caller and cannot go on. */
@@ -61,7 +64,7 @@
     if (active.number !in state.requests.active) return
     explain(active.number, "ended with an error after its answer had begun: $reason")
     emit(EntryEffect.BreakStream(active.number, reason))
-    finish(active, RequestResult.INTERRUPTED)
+    finish(active.copy(reason = reason), RequestResult.INTERRUPTED)
 }
 
 internal fun Reduction.callerLeft(requestNumber: Long) {
@@ -112,6 +115,10 @@
         val phase = active.phase
         val late = now >= (active.request.finishBy ?: Long.MAX_VALUE)
         val useless = late && !active.answerBegan && active.grantedClaim == null
+        if (phase is RequestPhase.Running && isOverdue(active)) {
+            cancelAttempt(phase.attemptNumber, CancelReason.DEADLINE)
+            return@forEach breakStream(active, "its time is over")
+        }
         if (useless && phase is RequestPhase.Running) {
             cancelAttempt(phase.attemptNumber, CancelReason.DEADLINE)
             refuse(active.copy(mayHaveRun = true), Refusal.TooLate(DEFAULT_RETRY_AFTER_MILLISECONDS))
@@ -123,6 +130,12 @@
         .forEach { refuse(it, Refusal.NoUpstream(it.request.target.label)) }
 }
 
+/** A stream on a route ends soon after its time is over; its engine stops by then too. */
+private fun Reduction.isOverdue(active: ActiveRequest): Boolean {
+    val finishBy = active.request.finishBy ?: return false
+    return active.request.repetition != null && active.answerBegan && now >= finishBy + OVERDUE_MILLISECONDS
+}
+
 /** Forgets a request everywhere. What still runs for it has been cancelled by now. */
 internal fun Reduction.finish(
     active: ActiveRequest,
@@ -131,9 +144,36 @@
     if (active.number !in state.requests.active) return
     state = state.copy(requests = state.requests.copy(active = state.requests.active.remove(active.number)))
     unschedule(active)
+    recordEnd(active, result)
     emit(EntryEffect.Measure(measurementOf(active, result)))
 }
 
+/** One line for each request on a route, with what on-call engineers need to follow it to its cause. */
+private fun Reduction.recordEnd(
+    active: ActiveRequest,
+    result: RequestResult,
+) {
+    val request = active.request
+    if (request.repetition == null) return
+    record(
+        EntryDecisionEvent.REQUEST_ENDED,
+        "request" to request.identifier,
+        "number" to request.number,
+        "organisation" to request.organisation,
+        "class" to request.className,
+        "target" to request.target.label,
+        "result" to result.name.lowercase(),
+        "reason" to active.reason,
+        "upstream" to active.upstream,
+        "attempts" to active.attempts,
+        "unreached" to active.unreached,
+        "started_after" to active.startedAt?.let { it - active.arrivedAt },
+        "first_byte_after" to active.firstByteAt?.let { it - active.arrivedAt },
+        "ended_after" to now - active.arrivedAt,
+        "configuration" to state.configuration.version,
+    )
+}
+
 private fun Reduction.measurementOf(
     active: ActiveRequest,
     result: RequestResult,
@@ -169,5 +209,8 @@
     state = state.copy(requests = state.requests.copy(active = state.requests.active.put(active.number, active)))
 }
 
+// Leaves the engine's own end at the deadline time to arrive, within the half second in which an answer is due.
+private const val OVERDUE_MILLISECONDS = 200L
+
 // A request waits this long for an upstream to come back before it is told that there is none.
 private const val UPSTREAM_WAIT_MILLISECONDS = 10_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.entry.core.CallerRequest
 import hawthorncrank.entry.core.RequestTarget
+import hawthorncrank.entry.core.ResumePoint
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
@@ -12,7 +13,9 @@
 
 /**
  * One request from arrival to its final answer. [mayHaveRun] is set with the first attempt that cannot be proved not to
- * have begun; from then on no refusal may say "not run". [firstByteAt] is when the caller's answer began.
+ * have begun; from then on no refusal may say "not run". [firstByteAt] is when the caller's answer began. [resume] is
+ * where the next attempt goes on; [unreached] counts attempts that reached no upstream. [lastUpstream] failed it last;
+ * [upstream] is the newest that it was sent to.
  */
 internal data class ActiveRequest(
     val request: CallerRequest,
@@ -26,7 +29,11 @@
     val deliveredTokens: Int = 0,
     val deliveredBytes: Long = 0,
     val lastUpstream: String? = null,
+    val upstream: String? = null,
     val callerLeft: Boolean = false,
+    val resume: ResumePoint? = null,
+    val unreached: Int = 0,
+    val reason: String? = null,
 ) {
     val number: Long
         get() = request.number
@@ -61,7 +68,11 @@
 }
 
 internal val CallerRequest.isIdempotent: Boolean
-    get() = (target as? RequestTarget.Service)?.idempotent != false
+    get() = repetition?.idempotent ?: ((target as? RequestTarget.Service)?.idempotent != false)
+
+/** A route that allows one run needs no claim: each of its requests has an identifier of its own and is sent once. */
+internal val CallerRequest.needsClaim: Boolean
+    get() = repetition == null && !isIdempotent
 
 /** What the retry budget and the messages call the target: the model's or the service's name. */
 internal val RequestTarget.label: String
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.Measurement
 import hawthorncrank.entry.core.Refusal
+import hawthorncrank.entry.core.RepetitionRule
 import hawthorncrank.entry.core.ResumePoint
 import hawthorncrank.entry.core.SilencePhase
 import hawthorncrank.protocol.Upstream
@@ -21,8 +22,9 @@
     if (end is AttemptEnd.Completed) return completed(active, attempt, end)
     if (active.answerBegan && rules.deliveredBytesForbidRestart) return continueStream(active, attempt, end)
     wasted(attempt, end)
+    if (active.mayHaveRun && !active.request.isIdempotent) return refuse(active, Refusal.RunInterrupted)
     val target = active.request.target.label
-    val next = active.copy(lastUpstream = attempt.upstream)
+    val next = uncounted(active, end).copy(lastUpstream = attempt.upstream)
     when (end) {
         is AttemptEnd.NotBegun -> {
             val retryAfter = end.retryAfterMilliseconds ?: DEFAULT_RETRY_AFTER_MILLISECONDS
@@ -47,12 +49,28 @@
     }
 }
 
+/** An attempt that reached no upstream does not count towards those to which the route lets the request be sent. */
+private fun uncounted(
+    active: ActiveRequest,
+    end: AttemptEnd,
+): ActiveRequest {
+    val unreached = end is AttemptEnd.NotConnected || end is AttemptEnd.Silent && end.phase == SilencePhase.CONNECT
+    if (active.request.repetition == null || !unreached) return active
+    return active.copy(attempts = active.attempts - 1, unreached = active.unreached + 1)
+}
+
 private fun Reduction.completed(
     active: ActiveRequest,
     attempt: RunningAttempt,
     end: AttemptEnd.Completed,
 ) {
     noteSuccess(active, attempt, end)
+    val failed = end.status >= SERVER_ERROR_STATUS && active.request.repetition != null
+    if (failed && active.request.isIdempotent && retryObstacle(active, charged = true) == null) {
+        explain(active.number, "got status ${end.status} from ${attempt.upstream}")
+        return retryOrRefuse(active.copy(lastUpstream = attempt.upstream), charged = true, Refusal.Interrupted)
+    }
+    if (failed) emit(EntryEffect.ReleaseAnswer(active.number, recorded = true))
     leaveUpstream(active, end.tokens, whole = true)
     val answered =
         active.copy(
@@ -84,12 +102,7 @@
     refusal: Refusal,
 ) {
     val target = active.request.target.label
-    val obstacle =
-        when {
-            active.attempts >= ATTEMPTS_LIMIT -> "it had ${active.attempts} attempts"
-            charged && !state.budget.allows(target, now) -> "the retry budget of $target is used up"
-            else -> null
-        }
+    val obstacle = retryObstacle(active, charged)
     if (!mayRun(active.request.contentDigest)) {
         return refuse(active.copy(phase = RequestPhase.Queued), Refusal.Convicted(active.request.contentDigest))
     }
@@ -103,6 +116,21 @@
     enqueue(active)
 }
 
+private fun Reduction.retryObstacle(
+    active: ActiveRequest,
+    charged: Boolean,
+): String? {
+    val target = active.request.target.label
+    val limit = active.request.repetition?.engineAttempts ?: ATTEMPTS_LIMIT
+    return when {
+        active.attempts >= limit -> "it had ${active.attempts} attempts"
+        active.unreached >= UNREACHED_LIMIT -> "${active.unreached} upstreams could not be reached"
+        charged && !state.budget.allows(target, now) -> "the retry budget of $target is used up"
+        now >= (active.request.finishBy ?: Long.MAX_VALUE) -> "its time is over"
+        else -> null
+    }
+}
+
 /** Bytes are at the caller: the same stream goes on from there on the same engine, or it ends with an error. */
 private fun Reduction.continueStream(
     active: ActiveRequest,
@@ -115,6 +143,8 @@
             deliveredBytes = bytes,
             deliveredTokens = active.deliveredTokens + tokensOf(attempt, end),
         )
+    val rule = active.request.repetition
+    if (rule != null) return resumeElsewhere(delivered, attempt, end, rule)
     val engine = upstream(attempt.upstream)
     if (engine == null || !mayResume(delivered, engine, end)) {
         return breakStream(delivered, "the upstream broke off the answer")
@@ -124,6 +154,24 @@
     resumeAttempt(delivered, engine, ResumePoint(attempt.number, bytes))
 }
 
+/** On a route, any engine of the service may go on behind the last event that the caller has. */
+private fun Reduction.resumeElsewhere(
+    active: ActiveRequest,
+    attempt: RunningAttempt,
+    end: AttemptEnd,
+    rule: RepetitionRule,
+) {
+    val next = uncounted(active, end)
+    val obstacle = if (rule.resumable) retryObstacle(next, charged = true) else "its route does not let it resume"
+    if (obstacle != null) {
+        record(EntryDecisionEvent.RETRY_REFUSED, "request" to active.number, "reason" to obstacle)
+        return breakStream(next, "the upstream broke off the answer, and $obstacle")
+    }
+    state = state.copy(budget = state.budget.retried(active.request.target.label, now))
+    explain(active.number, "resumes its stream elsewhere after ${active.deliveredBytes} bytes")
+    enqueue(next.copy(lastUpstream = attempt.upstream, resume = ResumePoint(attempt.number, active.deliveredBytes)))
+}
+
 private fun Reduction.mayResume(
     active: ActiveRequest,
     engine: Upstream,
@@ -156,6 +204,9 @@
         else -> attempt.bytes
     }
 
+// Upstreams that cannot be reached cost a request its time, a second each at worst.
+private const val UNREACHED_LIMIT = 3
+
 // Bounds the work that one request can cause when every upstream fails it at once.
 private const val ATTEMPTS_LIMIT = 5
 private const val SERVER_ERROR_STATUS = 500
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
@@ -8,14 +8,18 @@
  */
 internal fun Reduction.stopRequested() {
     if (state.stop.requested) return
-    state = state.copy(stop = state.stop.copy(requested = true))
+    state = state.copy(stop = state.stop.copy(requested = true, requestedAt = now))
     emit(EntryEffect.ReadinessChanged(false, "the entry is stopping"))
     record(EntryDecisionEvent.STOP_REQUESTED, "requests" to state.requests.active.size)
 }
 
+/** The load balancer goes on sending for a moment after readiness has turned; those requests are served. */
+internal fun Reduction.stopRefuses(): Boolean =
+    state.stop.requested && now - state.stop.requestedAt >= settings.behaviour.acceptAfterStop
+
 internal fun Reduction.terminateWhenEmpty() {
     val stop = state.stop
-    if (!stop.requested || stop.terminated) return
+    if (!stopRefuses() || stop.terminated) return
     val empty =
         state.requests.active.isEmpty() &&
             state.attempts.running.values
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamReports.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamReports.kt
@@ -27,8 +27,10 @@
 }
 
 internal fun Reduction.configurationChanged() {
-    val configuration = state.configuration.configuration
-    val labels = configuration.upstreams.flatMap { it.models } + configuration.services.map { it.name }
+    refreshUpstreams()
+    val configuration = state.configuration.effective
+    val routed = configuration.routeServices.map { it.name }
+    val labels = configuration.upstreams.flatMap { it.models } + configuration.services.map { it.name } + routed
     state =
         state.copy(
             scheduler = state.scheduler.configure(configuration),
@@ -38,11 +40,17 @@
     pruneMembership()
 }
 
+internal fun Reduction.upstreamsChanged() {
+    refreshUpstreams()
+    state = state.copy(router = state.router.configure(state.configuration.effective))
+    pruneMembership()
+}
+
 /** Tells the router which upstreams get new work. */
 internal fun Reduction.updateEligibility() {
     if (state.membership === before.membership && state.configuration === before.configuration) return
     val changed =
-        state.configuration.configuration.upstreams
+        state.configuration.effective.upstreams
             .filter { mayGetWork(it) != state.router.view.isEligible(it.name) }
     changed.forEach { state = state.copy(router = state.router.setEligible(it.name, mayGetWork(it))) }
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry
 
+import hawthorncrank.common.Milliseconds
 import hawthorncrank.common.SettingsFailure
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -28,6 +29,27 @@
     val tlsKey: String? = null,
     @SerialName("zone_entries")
     val zoneEntries: List<ZoneEntry> = emptyList(),
+    @SerialName("control_port")
+    val controlPort: Int? = null,
+    @SerialName("metrics_address")
+    val metricsAddress: String? = null,
+    val zones: List<ZoneLocation> = emptyList(),
+    @SerialName("key_revocation")
+    val keyRevocation: Milliseconds? = null,
+    @SerialName("drain_time")
+    val drainTime: Milliseconds? = null,
+    val heartbeat: Milliseconds? = null,
+) {
+    /** The link addresses of the control replicas. With [controlPort], [control] only names their VMs. */
+    val controlAddresses: List<String>
+        get() = if (controlPort == null) control else control.map { "${it.substringBeforeLast(':')}:$controlPort" }
+}
+
+/** An availability zone of the deployment and its region. */
+@Serializable
+data class ZoneLocation(
+    val name: String,
+    val region: String,
 )
 
 /** An entry of the same availability zone and its link address. */
@@ -47,7 +69,10 @@
         ) +
             control.map { "control" to it } +
             zoneEntries.map { "zone_entries.address" to it.address } +
-            listOfNotNull(platformAddress?.let { "platform_address" to it })
+            listOfNotNull(
+                platformAddress?.let { "platform_address" to it },
+                metricsAddress?.let { "metrics_address" to it },
+            )
     val malformed = addresses.firstOrNull { (_, address) -> !ADDRESS.matches(address) }
     return when {
         malformed != null ->
--- a/entry/src/main/kotlin/hawthorncrank/entry/Main.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Main.kt
@@ -11,9 +11,6 @@
 import hawthorncrank.common.eventLog
 import hawthorncrank.common.loadSettings
 import hawthorncrank.common.systemClock
-import hawthorncrank.entry.internal.EntryEventCode
-import org.apache.logging.log4j.LogManager
-import java.util.concurrent.CountDownLatch
 
 /** Runs one entry until it is told to stop; SIGTERM lets everything in flight end first. */
 private class EntryCommand : CliktCommand(name = "hawthorncrank-entry") {
@@ -26,19 +23,7 @@
             loadSettings(settings, EntryProgramSettings.serializer())
                 .andThen { startEntry(it, file, systemClock(), log) }
                 .getOrElse { throw CliktError(it.message) }
-        val finished = CountDownLatch(1)
-        Runtime.getRuntime().addShutdownHook(
-            Thread {
-                entry.stop { finished.countDown() }
-                finished.await()
-                entry.close()
-                log.record(EntryEventCode.STOPPED)
-                LogManager.shutdown()
-                // A process that ended by a signal has a non-zero status unless it halts itself.
-                Runtime.getRuntime().halt(0)
-            },
-        )
-        CountDownLatch(1).await()
+        runUntilStopped(entry, log)
     }
 }
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry.internal
 
+import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
@@ -24,7 +25,7 @@
     private val now: () -> Long,
     private val report: (EntryEvent) -> Unit,
 ) : BaseSubscriber<UpstreamSignal>() {
-    private val framer = EventFramer()
+    private val framer = EventFramer(owner.framing)
     private val collected = ByteArrayOutputStream()
     private var head: UpstreamSignal.Head? = null
     private var streaming = false
@@ -41,6 +42,8 @@
     val number: Long get() = effect.attemptNumber
     var resumeToken: String? = null
         private set
+    val answerHeaders: HttpHeaders get() = checkNotNull(head).headers
+    val lastEvent: String? get() = framer.lastEvent
 
     /** Asks for [count] more chunks. */
     fun pull(count: Long) {
@@ -100,9 +103,13 @@
     private fun begin(arrived: UpstreamSignal.Head) {
         head = arrived
         parseLoad(arrived.headers.get(LOAD_HEADER))?.let { report(EntryEvent.LoadReported(effect.upstream, it)) }
-        if (refusesWork(arrived)) {
-            end(AttemptEnd.NotBegun(retryAfter(arrived.headers)))
-            return cancel()
+        when (val reply = owner.readReply(arrived)) {
+            UpstreamReply.Begun -> Unit
+            is UpstreamReply.NotBegun -> return endNotBegun(reply, arrived)
+            UpstreamReply.Foreign -> {
+                end(AttemptEnd.Broken(0, 0))
+                return cancel()
+            }
         }
         resumeToken = arrived.headers.get(RESUME_TOKEN_HEADER)
         streaming = owner.streamed && arrived.status == HTTP_OK &&
@@ -169,15 +176,22 @@
         return WholeAnswer(HTTP_BAD_GATEWAY, JSON_HEADERS, body.toByteArray())
     }
 
-    private fun refusesWork(arrived: UpstreamSignal.Head): Boolean =
-        arrived.status == HTTP_UNAVAILABLE ||
-            (arrived.status == HTTP_TOO_MANY_REQUESTS && arrived.headers.contains(RETRY_AFTER))
-
-    private fun retryAfter(headers: HttpHeaders): Long? = headers.get(RETRY_AFTER)?.toLongOrNull()?.times(1_000)
+    /** The rest of a refusal is read to its end where there is one, so that its connection can be used again. */
+    private fun endNotBegun(
+        reply: UpstreamReply.NotBegun,
+        arrived: UpstreamSignal.Head,
+    ) {
+        end(AttemptEnd.NotBegun(reply.retryAfterMilliseconds))
+        val length = arrived.headers.get("Content-Length")?.toLongOrNull()
+        if (length != null && length <= SMALL_BODY_BYTES) request(Long.MAX_VALUE) else cancel()
+    }
 
     private companion object {
         const val PROGRESS_INTERVAL_MILLISECONDS = 250L
         const val WHOLE_ANSWER_LIMIT_BYTES = 16 shl 20
+
+        // A refusal of this size arrives with its head; a new connection costs more than reading it.
+        const val SMALL_BODY_BYTES = 4_096L
         const val EVENT_STREAM = "text/event-stream"
     }
 }
@@ -191,5 +205,6 @@
 
 internal const val HTTP_OK = 200
 internal const val HTTP_TOO_MANY_REQUESTS = 429
+internal const val HTTP_SERVER_ERROR = 500
 internal const val HTTP_BAD_GATEWAY = 502
 internal const val HTTP_UNAVAILABLE = 503
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerInterface.kt
@@ -0,0 +1,25 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.Result
+import hawthorncrank.entry.core.Refusal
+import hawthorncrank.protocol.Organisation
+import reactor.core.publisher.Mono
+import reactor.core.scheduler.Scheduler
+import reactor.netty.http.server.HttpServerRequest
+
+/**
+ * One interface to callers: who asks, what they ask for, and how they are refused. [readOn] is where a request is read
+ * once its body is whole.
+ */
+internal class CallerInterface(
+    val organisationOf: (HttpServerRequest, ConfigurationView) -> Mono<Result<Organisation, Rejection>>,
+    val read: (ConfigurationView, ReceivedRequest, number: Long) -> Result<ReadRequest, CallerAnswer.Whole>,
+    val readOn: Scheduler,
+    val refusals: RefusalForm,
+)
+
+/** How refusals are written to callers. */
+internal class RefusalForm(
+    val refusal: (Refusal) -> CallerAnswer.Whole,
+    val rejection: (Rejection) -> CallerAnswer.Whole,
+)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -15,7 +15,6 @@
 import org.reactivestreams.Publisher
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
-import reactor.core.scheduler.Schedulers
 import reactor.netty.http.server.HttpServerRequest
 import reactor.netty.http.server.HttpServerResponse
 import java.io.ByteArrayOutputStream
@@ -30,12 +29,13 @@
  */
 internal class CallerServer(
     private val entryName: String,
-    private val keys: KeyRing,
+    private val callers: CallerInterface,
     private val traffic: Traffic,
     private val view: () -> ConfigurationView?,
     private val bodyTime: Duration,
     firstNumber: Long,
     private val log: EventLog,
+    private val stopping: () -> Boolean,
 ) {
     private val numbers = AtomicLong(firstNumber)
     private val open = AtomicInteger()
@@ -56,10 +56,9 @@
         response: HttpServerResponse,
     ): Publisher<Void> {
         val current = view() ?: return reject(response, Rejection.NotReady)
-        val key = bearerKey(request) ?: return reject(response, Rejection.NoKey)
         var loop: EventLoop? = null
         request.withConnection { loop = it.channel().eventLoop() }
-        return keys.organisationOf(key).flatMapMany { result ->
+        return callers.organisationOf(request, current).flatMapMany { result ->
             result.fold(
                 success = { organisation -> receive(request, response, current, organisation, checkNotNull(loop)) },
                 failure = { reject(response, it) },
@@ -74,7 +73,7 @@
         organisation: Organisation,
         loop: EventLoop,
     ): Publisher<Void> =
-        body(request).publishOn(Schedulers.parallel()).flatMapMany { result ->
+        body(request).publishOn(callers.readOn).flatMapMany { result ->
             result.fold(
                 success = { bytes ->
                     val received =
@@ -93,7 +92,7 @@
     ): Publisher<Void> {
         val number = numbers.getAndIncrement()
         response.header(REQUEST_HEADER, "$entryName-$number")
-        return RequestReader(current, traffic.now).read(received, number).fold(
+        return callers.read(current, received, number).fold(
             success = { read -> run(read, response, loop) },
             failure = { write(response, it) },
         )
@@ -112,11 +111,9 @@
             .doOnComplete { exchange.delivered() }
             .doOnCancel { exchange.callerLeft() }
             .doOnError { failure ->
-                log.record(
-                    EntryEventCode.EXCHANGE_FAILED,
-                    "request" to read.decision.number,
-                    "error" to failure,
-                )
+                if (failure !is StreamBroken) {
+                    log.record(EntryEventCode.EXCHANGE_FAILED, "request" to read.decision.number, "error" to failure)
+                }
                 exchange.callerLeft()
             }
     }
@@ -126,7 +123,7 @@
         rejection: Rejection,
     ): Publisher<Void> {
         log.record(EntryEventCode.REQUEST_REJECTED, "status" to rejection.status, "problem" to rejection.problem)
-        return write(response, rejectionAnswer(rejection))
+        return write(response, callers.refusals.rejection(rejection))
     }
 
     private fun write(
@@ -134,6 +131,7 @@
         answer: CallerAnswer,
     ): Publisher<Void> {
         response.status(answer.status)
+        if (stopping()) response.keepAlive(false)
         answer.headers.forEach { (name, value) -> response.addHeader(name, value) }
         return when (answer) {
             is CallerAnswer.Whole -> {
@@ -146,12 +144,6 @@
 
     private fun wrap(bytes: ByteArray): ByteBuf = Unpooled.wrappedBuffer(bytes)
 
-    private fun bearerKey(request: HttpServerRequest): String? {
-        val header = request.requestHeaders().get(HttpHeaderNames.AUTHORIZATION) ?: return null
-        if (!header.startsWith(BEARER, ignoreCase = true)) return null
-        return header.substring(BEARER.length).trim().ifEmpty { null }
-    }
-
     private fun body(request: HttpServerRequest): Mono<Result<ByteArray, Rejection>> {
         val announced = request.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH)?.toLongOrNull() ?: 0
         if (announced > BODY_LIMIT_BYTES) return Mono.just(Err(Rejection.BodyTooLarge))
@@ -167,7 +159,6 @@
     }
 
     private companion object {
-        const val BEARER = "Bearer "
         const val BODY_LIMIT_BYTES = 4 shl 20
     }
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ConfigurationView.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ConfigurationView.kt
@@ -1,7 +1,9 @@
 package hawthorncrank.entry.internal
 
 import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.ANONYMOUS_ORGANISATION
 import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.RequestRoute
 import hawthorncrank.protocol.ServiceRoute
 import hawthorncrank.protocol.TrafficClass
 
@@ -14,6 +16,24 @@
     private val serviceClasses = configuration.services.map { it.className }.toSet()
     private val routes = configuration.services.sortedByDescending { it.pathPrefix.length }
 
+    private val requestRoutes =
+        configuration.routes
+            .groupBy { it.host.lowercase() }
+            .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
+    private val modelServices = configuration.routeServices.filter { it.servesModels }.mapTo(HashSet()) { it.name }
+
+    /** The organisation of requests that need no key, where a route allows them. */
+    val anonymous: Organisation? = configuration.organisations.firstOrNull { it.name == ANONYMOUS_ORGANISATION }
+
+    /** The route of the host with the longest prefix that begins the path. */
+    fun requestRoute(
+        host: String?,
+        path: String,
+    ): RequestRoute? =
+        requestRoutes[host?.substringBefore(':')?.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    fun servesModels(service: String): Boolean = service in modelServices
+
     fun trafficClass(name: String): TrafficClass? = classes[name]
 
     /** The route with the longest prefix of whole path segments. */
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
@@ -13,6 +13,7 @@
     private val polls: UpstreamPolls,
     private val metrics: EntryMetrics,
     private val log: EventLog,
+    private val refusals: RefusalForm,
     private val applyConfiguration: (ConfigurationView) -> Unit,
     private val setReadiness: (Readiness) -> Unit,
     private val terminate: () -> Unit,
@@ -23,7 +24,7 @@
             is EntryEffect.CancelAttempt -> traffic.cancel(effect.attemptNumber)
             is EntryEffect.ReleaseAnswer -> traffic.exchange(effect.requestNumber)?.release(effect.recorded)
             is EntryEffect.RefuseCaller ->
-                traffic.exchange(effect.requestNumber)?.refuse(refusalAnswer(effect.refusal), effect.refusal.problem)
+                traffic.exchange(effect.requestNumber)?.refuse(refusals.refusal(effect.refusal), effect.refusal.problem)
             is EntryEffect.ReplayAnswer -> traffic.exchange(effect.requestNumber)?.replay(replayed(effect))
             is EntryEffect.BreakStream -> traffic.exchange(effect.requestNumber)?.breakStream(effect.reason)
             is EntryEffect.SendToControl -> links.sendToControl(effect.message)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryLinks.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryLinks.kt
@@ -1,8 +1,10 @@
 package hawthorncrank.entry.internal
 
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onSuccess
 import hawthorncrank.common.EventLog
 import hawthorncrank.entry.EntryProgramSettings
 import hawthorncrank.entry.core.EntryEvent
@@ -34,6 +36,8 @@
     private val clients = mutableListOf<LinkClient>()
     private var server: LinkServer? = null
 
+    private var controlClient: LinkClient? = null
+
     @Volatile private var control: Link? = null
 
     val port: Int get() = server?.port ?: 0
@@ -45,13 +49,20 @@
     fun connect(): Result<Unit, LinkFailure> =
         settings.zoneEntries
             .filter { it.name > settings.name }
-            .fold(linkClient(own(LinkRole.ENTRY), settings.control, ControlListener(), log)) { opened, neighbour ->
+            .fold(controlClient()) { opened, neighbour ->
                 opened.andThen { client ->
                     clients += client
                     linkClient(own(LinkRole.ZONE_PEER), listOf(neighbour.address), ZoneListener(), log)
                 }
             }.map { clients += it }
 
+    private fun controlClient(): Result<LinkClient, LinkFailure> =
+        linkClient(own(LinkRole.ENTRY), settings.controlAddresses, ControlListener(), log)
+            .onSuccess { controlClient = it }
+
+    fun useControl(addresses: List<String>): Result<Unit, LinkFailure> =
+        controlClient?.useAddresses(addresses) ?: Ok(Unit)
+
     fun sendToControl(message: EntryToControl) {
         control?.send(message)
     }
@@ -68,7 +79,20 @@
         server?.close()
     }
 
-    private fun own(role: LinkRole) = LinkSettings(role, settings.name, settings.fleetKey)
+    private fun own(role: LinkRole): LinkSettings {
+        val plain = LinkSettings(role, settings.name, settings.fleetKey)
+        val heartbeat = settings.heartbeat?.value ?: return plain
+        return plain.copy(
+            heartbeatMilliseconds = heartbeat,
+            silenceMilliseconds = heartbeat * HEARTBEATS_OF_SILENCE,
+            longestReconnectMilliseconds = heartbeat,
+        )
+    }
+
+    private companion object {
+        // As in the defaults: a link is closed after four missing heartbeats.
+        const val HEARTBEATS_OF_SILENCE = 4
+    }
 
     private inner class ControlListener : LinkListener {
         override fun opened(link: Link) {
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -13,6 +13,7 @@
 import hawthorncrank.common.SettingsFailure
 import hawthorncrank.entry.Entry
 import hawthorncrank.entry.EntryProgramSettings
+import hawthorncrank.entry.RoutedTraffic
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.firstFailure
@@ -31,21 +32,45 @@
     verify: (String, String) -> Boolean,
     private val limits: ProcessLimits = ProcessLimits(),
     client: UpstreamClient = upstreamClient(),
+    routed: RoutedTraffic? = null,
 ) : Entry {
     private val control: ControlThread<State> =
         ControlThread(reducer, initial, clock, log) { effect -> effects.carryOut(effect) }
     private val traffic = Traffic(client, clock::now, control::send)
     private val keys = KeyRing(verify)
+    private val callerInterface =
+        if (routed == null) ownCallers(keys, clock::now) else routedCallers(keys, routed.protocol, clock::now)
     private val metrics = EntryMetrics()
     private val links = EntryLinks(settings, control::send, log)
     private val polls =
         UpstreamPolls(settings.availabilityZone, settings.platformAddress, { view }, control::send, log)
+    private val listPolls = routed?.let { UpstreamListPolls(it.listing, control::send, log) }
     private val effects: EffectExecutor =
-        EffectExecutor(traffic, links, polls, metrics, log, ::apply, { readiness = it }, ::terminated)
+        EffectExecutor(
+            traffic,
+            links,
+            polls,
+            metrics,
+            log,
+            callerInterface.refusals,
+            ::apply,
+            { readiness = it },
+            ::terminated,
+        )
 
     // Numbers of an earlier process of this entry must not return: claims and explanations refer to them.
     private val firstNumber = clock.wallTime() * NUMBERS_PER_MILLISECOND
-    private val callers = CallerServer(settings.name, keys, traffic, { view }, limits.bodyTime, firstNumber, log)
+    private val callers =
+        CallerServer(
+            settings.name,
+            callerInterface,
+            traffic,
+            { view },
+            limits.bodyTime,
+            firstNumber,
+            log,
+            { stopping },
+        )
     private val operations = OperationsServer(metrics) { readiness }
     private val servers = mutableListOf<DisposableServer>()
 
@@ -55,6 +80,8 @@
 
     @Volatile private var finished: () -> Unit = {}
 
+    @Volatile private var stopping = false
+
     override val httpPort: Int get() = servers[HTTP].port()
     override val operationsPort: Int get() = servers[OPERATIONS].port()
     val linkPort: Int get() = links.port
@@ -64,27 +91,32 @@
         check(file)
             .andThen { openHttp(file) }
             .andThen { openOperations(file) }
+            .andThen { openMetrics(file) }
             .andThen { links.listen().mapError { inUse(file, it) } }
             .andThen { links.connect().mapError { malformed(file, it) } }
             .map {
                 metrics.gauge("hawthorncrank.requests.in.progress") { traffic.inProgress }
                 metrics.gauge("hawthorncrank.configuration.version") { view?.version ?: 0 }
                 control.start()
-                polls.start()
+                listPolls?.start() ?: polls.start()
                 log.record(EntryEventCode.STARTED, "name" to settings.name, "port" to httpPort)
                 this
             }.onFailure { close() }
 
     override fun stop(finished: () -> Unit) {
         this.finished = finished
+        stopping = true
         log.record(EntryEventCode.STOP_REQUESTED, "in_progress" to traffic.inProgress)
         control.send(EntryEvent.StopRequested)
     }
 
     fun send(event: EntryEvent) = control.send(event)
 
+    override fun useControl(addresses: List<String>): Result<Unit, LinkFailure> = links.useControl(addresses)
+
     override fun close() {
         polls.close()
+        listPolls?.close()
         links.close()
         servers.forEach { it.disposeNow(Duration.ofSeconds(1)) }
         control.close()
@@ -117,6 +149,12 @@
         openPort(file, "operations_address", settings.operationsAddress, limits.port, null, operations::handle)
             .map { servers += it }
 
+    /** A second address of the operations pages, for where the first is open to the load balancer only. */
+    private fun openMetrics(file: String): Result<Unit, SettingsFailure> {
+        val address = settings.metricsAddress ?: return Ok(Unit)
+        return openPort(file, "metrics_address", address, limits.port, null, operations::handle).map { servers += it }
+    }
+
     private fun inUse(
         file: String,
         failure: LinkFailure,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
@@ -4,7 +4,9 @@
  * Cuts a stream of server-sent events after whole events, so that a caller never has half an event when a stream breaks
  * and resumes or ends with an error. Holds back at most [MAXIMUM_EVENT_BYTES]; a longer event goes out in parts.
  */
-internal class EventFramer {
+internal class EventFramer(
+    private val framing: StreamFraming = StreamFraming.CompletionEvents,
+) {
     private var rest = ByteArray(0)
     private var lastLine = ""
 
@@ -12,8 +14,12 @@
     var tokens = 0
         private set
 
+    /** The identifier of the newest whole event, where events have one. */
+    var lastEvent: String? = null
+        private set
+
     /** Whether the last line is the one that ends every complete answer. */
-    val done: Boolean get() = lastLine.trim() == "data: [DONE]"
+    val done: Boolean get() = framing != StreamFraming.CompletionEvents || lastLine.trim() == "data: [DONE]"
 
     fun accept(bytes: ByteArray): ByteArray {
         val all = if (rest.isEmpty()) bytes else rest + bytes
@@ -33,6 +39,13 @@
 
     private fun inspect(events: ByteArray) {
         val text = events.decodeToString()
+        when (framing) {
+            StreamFraming.CompletionEvents -> inspectCompletion(text)
+            StreamFraming.NumberedEvents -> inspectNumbered(text)
+        }
+    }
+
+    private fun inspectCompletion(text: String) {
         var position = text.indexOf(CONTENT)
         while (position >= 0) {
             tokens += 1
@@ -41,6 +54,14 @@
         lastLine = text.trimEnd().substringAfterLast('\n')
     }
 
+    private fun inspectNumbered(text: String) {
+        for (line in text.lineSequence()) {
+            if (!line.startsWith(IDENTIFIER)) continue
+            tokens += 1
+            lastEvent = line.substring(IDENTIFIER.length).trim()
+        }
+    }
+
     private fun endOfWholeEvents(bytes: ByteArray): Int {
         for (index in bytes.size - 1 downTo 1) {
             if (bytes[index] == LINE_FEED && endsLine(bytes, index - 1)) return index + 1
@@ -58,7 +79,17 @@
     private companion object {
         const val MAXIMUM_EVENT_BYTES = 1 shl 20
         const val CONTENT = "\"content\":"
+        const val IDENTIFIER = "id:"
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val LINE_FEED = '\n'.code.toByte()
     }
 }
+
+/** What the events of a stream look like, and how a complete stream ends. */
+internal enum class StreamFraming {
+    /** Chat completion chunks; a complete answer ends with a marker. */
+    CompletionEvents,
+
+    /** Events with rising identifiers; a complete answer ends with its HTTP body. */
+    NumberedEvents,
+}
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.internal
 
 import hawthorncrank.common.EventLog
+import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
@@ -31,8 +32,10 @@
     private var relay: StreamRelay? = null
     private var resumeToken: String? = null
     private var answerStarted = false
+    private var lastEvent: String? = null
 
     val streamed: Boolean get() = request.streamed
+    val framing: StreamFraming get() = request.form.framing
     val answer: Mono<CallerAnswer> get() = answered.asMono()
 
     /** Called on the control thread, so that a later cancellation finds the attempt whatever the event loop has done. */
@@ -56,7 +59,7 @@
     fun refuse(
         answer: CallerAnswer.Whole,
         reason: String,
-    ) = loop.execute { relay?.complete(errorEvent(reason)) ?: deliver(answer) }
+    ) = loop.execute { relay?.let { end(it, reason) } ?: deliver(answer) }
 
     /** Ends a stream that has begun with an error event, and answers 502 where nothing has reached the caller. */
     fun breakStream(reason: String) = refuse(refusalAnswer(Refusal.Interrupted), reason)
@@ -70,14 +73,16 @@
         val existing = relay
         val relay = existing ?: StreamRelay(loop).also { relay = it }
         relay.connect(attempt::pull)
-        if (existing == null) deliver(CallerAnswer.Stream(STREAM_HEADERS, relay.body))
+        if (existing == null) deliver(CallerAnswer.Stream(request.form.streamHeaders(attempt.answerHeaders), relay.body))
     }
 
     fun streamed(
         attempt: Attempt,
         events: ByteArray,
     ) {
-        if (attempt === current) relay?.next(events)
+        if (attempt !== current) return
+        lastEvent = attempt.lastEvent ?: lastEvent
+        relay?.next(events)
     }
 
     fun streamCompleted(
@@ -95,12 +100,22 @@
         val headers = forwardedHeaders(whole.headers) + (OUTCOME_HEADER to StatedOutcome.RAN.headerValue)
         val answer = CallerAnswer.Whole(whole.status, headers, whole.body)
         val currentAttempt = attempt === current
-        if (currentAttempt && !request.idempotent) held = answer
-        val record = if (request.idempotent) null else outcome(whole)
+        // A stream that was to go on got another answer instead.
+        if (relay != null) return attempt.end(AttemptEnd.Broken(0, 0))
+        val waits =
+            when (request.form.release) {
+                AnswerRelease.AT_ONCE -> false
+                AnswerRelease.WHEN_RECORDED -> !request.idempotent
+                AnswerRelease.FAILURES_WHEN_DECIDED -> whole.status >= HTTP_SERVER_ERROR
+            }
+        if (currentAttempt && waits) held = answer
+        val record = if (request.form.release == AnswerRelease.WHEN_RECORDED && waits) outcome(whole) else null
         attempt.end(AttemptEnd.Completed(whole.status, generatedTokens(whole), whole.body.size.toLong(), record))
-        if (currentAttempt && request.idempotent) deliver(answer)
+        if (currentAttempt && !waits) deliver(answer)
     }
 
+    fun readReply(head: UpstreamSignal.Head): UpstreamReply = request.form.readReply(head.status, head.headers)
+
     fun attemptFailed(
         attempt: Attempt,
         failure: Throwable,
@@ -129,26 +144,29 @@
         relay?.disconnect()
         val token = resumeToken
         val begun = relay
-        val resume =
-            if (attempt.effect.resume != null &&
-                token != null
-            ) {
-                StreamResume(token, begun?.bytes ?: 0)
-            } else {
-                null
-            }
-        if (resume == null && answerStarted) {
+        val mayResume = attempt.effect.resume != null
+        val resume = if (mayResume && token != null) StreamResume(token, begun?.bytes ?: 0) else null
+        val resumesByEvent = mayResume && lastEvent != null && framing == StreamFraming.NumberedEvents
+        if (resume == null && !resumesByEvent && answerStarted) {
             // Another attempt's answer must not follow bytes that the caller already has.
-            begun?.complete(errorEvent("the stream cannot be resumed"))
+            begun?.let { end(it, "the stream cannot be resumed") }
             return attempt.end(AttemptEnd.NotConnected)
         }
         val body = request.body(attempt.effect.priority, resume)
         traffic.client
-            .exchange(attempt.effect, request, body) { attempt.sent = true }
+            .exchange(attempt.effect, request, AttemptContent(body, lastEvent)) { attempt.sent = true }
             .publishOn(Schedulers.fromExecutor(loop), RECEIVE_AHEAD)
             .subscribe(attempt)
     }
 
+    private fun end(
+        stream: StreamRelay,
+        reason: String,
+    ) {
+        val event = request.form.errorEvent
+        if (event == null) stream.abort(reason) else stream.complete(event(reason))
+    }
+
     private fun deliver(answer: CallerAnswer) {
         if (answerStarted) return
         answerStarted = true
@@ -165,11 +183,5 @@
 
     private companion object {
         const val RECEIVE_AHEAD = 4
-        val STREAM_HEADERS =
-            listOf(
-                CONTENT_TYPE to "text/event-stream",
-                "Cache-Control" to "no-cache",
-                OUTCOME_HEADER to StatedOutcome.RAN.headerValue,
-            )
     }
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/KeyRing.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/KeyRing.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import hawthorncrank.common.KeyHash
 import hawthorncrank.protocol.Organisation
 import reactor.core.publisher.Mono
 import reactor.core.scheduler.Schedulers
@@ -33,11 +34,21 @@
 
     @Volatile private var organisations: Map<String, Organisation> = emptyMap()
 
+    @Volatile private var owners: Map<String, Organisation> = emptyMap()
+
     fun replaceOrganisations(replacement: List<Organisation>) {
         organisations = replacement.associateBy { it.name }
+        owners =
+            replacement
+                .flatMap { owner -> owner.keyHashes.filter(KeyHash::isDigest).map { it to owner } }
+                .toMap()
     }
 
+    /** The owner of a key that is stored as a fast digest. */
+    fun ownerOf(key: String): Organisation? = if (owners.isEmpty()) null else owners[KeyHash.digest(key)]
+
     fun organisationOf(key: String): Mono<Result<Organisation, Rejection>> {
+        ownerOf(key)?.let { return Mono.just(Ok(it)) }
         val organisation = organisations[key.substringBeforeLast('.', "")] ?: return Mono.just(Err(Rejection.WrongKey))
         val digest = fastDigest(key)
         val known = results[digest]
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/OwnCallers.kt
@@ -0,0 +1,40 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import hawthorncrank.protocol.Organisation
+import io.netty.handler.codec.http.HttpHeaderNames
+import reactor.core.publisher.Mono
+import reactor.core.scheduler.Schedulers
+import reactor.netty.http.server.HttpServerRequest
+
+/** The product's own interface to callers: bearer keys, chat completions and the paths of plain services. */
+internal fun ownCallers(
+    keys: KeyRing,
+    now: () -> Long,
+): CallerInterface {
+    val form = ownInterface()
+    return CallerInterface(
+        organisationOf = { request, _ -> bearerOrganisation(request, keys) },
+        read = { view, received, number -> RequestReader(view, now, form).read(received, number) },
+        // Parsing a large completion request must not hold up the streams of the event loop.
+        readOn = Schedulers.parallel(),
+        refusals = RefusalForm(::refusalAnswer, ::rejectionAnswer),
+    )
+}
+
+private fun bearerOrganisation(
+    request: HttpServerRequest,
+    keys: KeyRing,
+): Mono<Result<Organisation, Rejection>> {
+    val key = bearerKey(request) ?: return Mono.just(Err(Rejection.NoKey))
+    return keys.organisationOf(key)
+}
+
+private fun bearerKey(request: HttpServerRequest): String? {
+    val header = request.requestHeaders().get(HttpHeaderNames.AUTHORIZATION) ?: return null
+    if (!header.startsWith(BEARER, ignoreCase = true)) return null
+    return header.substring(BEARER.length).trim().ifEmpty { null }
+}
+
+private const val BEARER = "Bearer "
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/OwnInterface.kt
@@ -0,0 +1,47 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.entry.UpstreamReply
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.StatedOutcome
+import io.netty.handler.codec.http.HttpHeaders
+
+/** The exchanges of the product's own interface: chat completions and calls of plain services. */
+internal fun ownInterface(): ExchangeForm =
+    ExchangeForm(
+        attemptHeaders = ::ownHeaders,
+        readReply = ::ownReply,
+        framing = StreamFraming.CompletionEvents,
+        streamHeaders = { STREAM_HEADERS },
+        errorEvent = ::errorEvent,
+        release = AnswerRelease.WHEN_RECORDED,
+    )
+
+private fun ownHeaders(
+    attempt: EntryEffect.StartAttempt,
+    @Suppress("UNUSED_PARAMETER") lastEvent: String?,
+): List<Pair<String, String>> =
+    listOfNotNull(
+        attempt.claimNumber?.let { CLAIM_HEADER to it.toString() },
+        attempt.deadlineMilliseconds?.let { DEADLINE_HEADER to it.toString() },
+    )
+
+private fun ownReply(
+    status: Int,
+    headers: HttpHeaders,
+): UpstreamReply {
+    val refused =
+        status == HTTP_UNAVAILABLE || (status == HTTP_TOO_MANY_REQUESTS && headers.contains(RETRY_AFTER))
+    return if (refused) UpstreamReply.NotBegun(retryAfterOf(headers)) else UpstreamReply.Begun
+}
+
+private fun retryAfterOf(headers: HttpHeaders): Long? =
+    headers.get(RETRY_AFTER)?.toLongOrNull()?.times(MILLISECONDS_PER_SECOND)
+
+private const val MILLISECONDS_PER_SECOND = 1_000
+
+private val STREAM_HEADERS =
+    listOf(
+        CONTENT_TYPE to "text/event-stream",
+        "Cache-Control" to "no-cache",
+        OUTCOME_HEADER to StatedOutcome.RAN.headerValue,
+    )
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
@@ -34,6 +34,18 @@
         "use POST /v1/chat/completions or the path of a configured service",
     )
 
+    data object NoRoute : Rejection(
+        404,
+        "no route has this host and path",
+        "compare host and path with the routes of the configuration",
+    )
+
+    data object NoRouteKey : Rejection(
+        401,
+        "the request has no valid key",
+        "send a key of an organisation that the configuration names",
+    )
+
     data object WrongMethod : Rejection(405, "this path takes POST only", "send the request with POST")
 
     data object BodyTooLarge : Rejection(413, "the body exceeds 4 MiB", "send a smaller request")
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
@@ -36,6 +36,7 @@
 internal class RequestReader(
     private val view: ConfigurationView,
     private val now: () -> Long,
+    private val form: ExchangeForm,
 ) {
     fun read(
         received: ReceivedRequest,
@@ -64,6 +65,7 @@
                     headers = outgoingHeaders(received.headers),
                     idempotent = true,
                     streamed = model.streamed,
+                    form = form,
                     body = model::body,
                 )
             ReadRequest(decision, outgoing)
@@ -89,6 +91,7 @@
                     headers = outgoingHeaders(received.headers),
                     idempotent = idempotent,
                     streamed = false,
+                    form = form,
                     body = { _, _ -> received.body },
                 )
             ReadRequest(decision, outgoing)
@@ -139,7 +142,7 @@
     }
 }
 
-private fun contentDigest(
+internal fun contentDigest(
     organisation: String,
     content: String,
     body: ByteArray,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/StreamRelay.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/StreamRelay.kt
@@ -16,6 +16,7 @@
     private var source: ((Long) -> Unit)? = null
     private var asked = 0L
     private var ended = false
+    private var failure: StreamBroken? = null
 
     /** Bytes handed to the caller's connection, over all attempts. */
     var bytes = 0L
@@ -55,6 +56,15 @@
         sink?.complete()
     }
 
+    /** Ends the stream so that it does not look complete: its connection is closed before the end of the body. */
+    fun abort(reason: String) {
+        if (ended) return
+        ended = true
+        val broken = StreamBroken(reason)
+        failure = broken
+        sink?.error(broken)
+    }
+
     private fun emit(chunk: ByteArray) {
         bytes += chunk.size
         val target = sink
@@ -65,7 +75,12 @@
         sink = created
         early.forEach { created.next(it) }
         early.clear()
-        if (ended) created.complete() else pull()
+        val broken = failure
+        when {
+            broken != null -> created.error(broken)
+            ended -> created.complete()
+            else -> pull()
+        }
     }
 
     private fun pull() {
@@ -76,3 +91,8 @@
         request(wanted)
     }
 }
+
+/** Closes the connection of a caller whose stream cannot go on. It carries no stack trace, because it is no fault of the entry. */
+internal class StreamBroken(
+    reason: String,
+) : RuntimeException(reason, null, false, false)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -32,11 +32,17 @@
     fun exchange(
         attempt: EntryEffect.StartAttempt,
         request: OutgoingRequest,
-        body: ByteArray,
+        content: AttemptContent,
         sent: () -> Unit,
     ): Flux<UpstreamSignal>
 }
 
+/** What one attempt sends: its body and, where a stream goes on, the last event that the caller has. */
+internal class AttemptContent(
+    val body: ByteArray,
+    val lastEvent: String?,
+)
+
 /**
  * Creates the client of a running entry. Non-idempotent calls have their own pool, whose connections are dropped 2 s
  * after their last use, because an older one may have gone silent and would leave the outcome unknown.
@@ -44,19 +50,19 @@
 internal fun upstreamClient(freshLimit: Duration = FRESH_LIMIT): UpstreamClient {
     val pool = connections("upstream", IDLE_LIMIT)
     val freshPool = connections("upstream-fresh", freshLimit)
-    return UpstreamClient { attempt, request, body, sent ->
+    return UpstreamClient { attempt, request, content, sent ->
         HttpClient
             .create(if (request.idempotent) pool else freshPool)
             .disableRetry(true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
             .doOnRequest { _, _ -> sent() }
-            .headers { headers -> setHeaders(headers, attempt, request, body) }
+            .headers { headers -> setHeaders(headers, attempt, request, content) }
             .request(request.method)
             .uri("http://${attempt.address}${request.uri}")
-            .send(Mono.just(Unpooled.wrappedBuffer(body)))
-            .response { response, content ->
+            .send(Mono.just(Unpooled.wrappedBuffer(content.body)))
+            .response { response, answer ->
                 val head = UpstreamSignal.Head(response.status().code(), response.responseHeaders())
-                Flux.concat(Mono.just(head), content.asByteArray().map { UpstreamSignal.Chunk(it) })
+                Flux.concat(Mono.just(head), answer.asByteArray().map { UpstreamSignal.Chunk(it) })
             }
     }
 }
@@ -65,12 +71,11 @@
     headers: HttpHeaders,
     attempt: EntryEffect.StartAttempt,
     request: OutgoingRequest,
-    body: ByteArray,
+    content: AttemptContent,
 ) {
     request.headers.forEach { (name, value) -> headers.add(name, value) }
-    headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-    attempt.claimNumber?.let { headers.set(CLAIM_HEADER, it) }
-    attempt.deadlineMilliseconds?.let { headers.set(DEADLINE_HEADER, it) }
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, content.body.size)
+    request.form.attemptHeaders(attempt, content.lastEvent).forEach { (name, value) -> headers.set(name, value) }
 }
 
 private fun connections(
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
@@ -43,7 +43,7 @@
         idempotent: Boolean,
     ) {
         val request =
-            OutgoingRequest(HttpMethod.POST, "/", emptyList(), idempotent, streamed = false) { _, _ -> ByteArray(0) }
+            OutgoingRequest(HttpMethod.POST, "/", emptyList(), idempotent, streamed = false, ownInterface()) { _, _ -> ByteArray(0) }
         val attempt =
             EntryEffect.StartAttempt(
                 attemptNumber = 1,
@@ -56,7 +56,7 @@
                 claimNumber = null,
                 resume = null,
             )
-        client.exchange(attempt, request, ByteArray(0)) {}.collectList().block()
+        client.exchange(attempt, request, AttemptContent(ByteArray(0), null)) {}.collectList().block()
         assertEquals("900", upstream.headers.last()["hawthorncrank-deadline-milliseconds"])
     }
 
--- a/intents/src/main/kotlin/hawthorncrank/intents/DeltaWords.kt
+++ b/intents/src/main/kotlin/hawthorncrank/intents/DeltaWords.kt
@@ -13,6 +13,8 @@
             describe("organisation", delta.organisations) { it.name } +
             describe("upstream", delta.upstreams) { it.name } +
             describe("service", delta.services) { it.name } +
+            describe("route", delta.routes) { it.name } +
+            describe("route service", delta.routeServices) { it.name } +
             listOfNotNull(delta.weightStore?.let { "weight store: ${it.loadsPerMinute} loads per minute" })
     if (lines.size <= limit) return lines
     return lines.take(limit) + "and ${lines.size - limit} more"
--- a/link/src/main/kotlin/hawthorncrank/link/LinkSettings.kt
+++ b/link/src/main/kotlin/hawthorncrank/link/LinkSettings.kt
@@ -10,4 +10,5 @@
     val heartbeatMilliseconds: Long = 1_000,
     val silenceMilliseconds: Long = 4_000,
     val outgoingMessages: Int = 10_000,
+    val longestReconnectMilliseconds: Long = 2_000,
 )
--- a/link/src/main/kotlin/hawthorncrank/link/internal/DialingClient.kt
+++ b/link/src/main/kotlin/hawthorncrank/link/internal/DialingClient.kt
@@ -1,8 +1,12 @@
 package hawthorncrank.link.internal
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import hawthorncrank.common.EventLog
 import hawthorncrank.link.LinkClient
 import hawthorncrank.link.LinkEventCode
+import hawthorncrank.link.LinkFailure
 import hawthorncrank.link.LinkListener
 import hawthorncrank.link.LinkSettings
 import io.ktor.network.selector.SelectorManager
@@ -21,7 +25,7 @@
 
 internal class DialingClient(
     private val settings: LinkSettings,
-    private val addresses: List<InetSocketAddress>,
+    addresses: List<InetSocketAddress>,
     listener: LinkListener,
     private val eventLog: EventLog,
 ) : LinkClient {
@@ -30,6 +34,8 @@
     private val opening = LinkOpening(settings, listener, eventLog)
     private var position = 0
 
+    @Volatile private var addresses = addresses
+
     fun start() {
         scope.launch { keepLinked() }
     }
@@ -38,16 +44,17 @@
         var wait = SHORTEST_WAIT_MILLISECONDS
         while (true) {
             val linked = runFirstLink()
-            wait = if (linked) SHORTEST_WAIT_MILLISECONDS else minOf(wait * 2, LONGEST_WAIT_MILLISECONDS)
+            wait = if (linked) SHORTEST_WAIT_MILLISECONDS else minOf(wait * 2, settings.longestReconnectMilliseconds)
             delay(wait)
         }
     }
 
     /** After a loss the next round starts behind the lost address, so that a replica of no use is left. */
     private suspend fun runFirstLink(): Boolean {
-        repeat(addresses.size) {
-            val address = addresses[position]
-            position = (position + 1) % addresses.size
+        val current = addresses
+        repeat(current.size) {
+            val address = current[position % current.size]
+            position = (position + 1) % current.size
             if (runLink(address)) return true
         }
         return false
@@ -79,6 +86,11 @@
         eventLog.record(LinkEventCode.HANDSHAKE_REFUSED, "peer" to address, "reason" to failure.message)
     }
 
+    override fun useAddresses(addresses: List<String>): Result<Unit, LinkFailure> {
+        this.addresses = addresses.map { parseAddress(it) ?: return Err(LinkFailure.MalformedAddress(it)) }
+        return Ok(Unit)
+    }
+
     override fun close() {
         scope.cancel()
         selector.close()
@@ -87,6 +99,5 @@
     private companion object {
         const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
         const val SHORTEST_WAIT_MILLISECONDS = 100L
-        const val LONGEST_WAIT_MILLISECONDS = 2_000L
     }
 }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/Configuration.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/Configuration.kt
@@ -15,6 +15,9 @@
     val organisations: List<Organisation> = emptyList(),
     val upstreams: List<Upstream> = emptyList(),
     val services: List<ServiceRoute> = emptyList(),
+    val routes: List<RequestRoute> = emptyList(),
+    @SerialName("route_services")
+    val routeServices: List<RouteService> = emptyList(),
     @SerialName("weight_store")
     val weightStore: WeightStore = WeightStore(),
 )
@@ -38,7 +41,10 @@
     val queueSize: ByteSize = ByteSize(16L shl 20),
 )
 
-/** An organisation: who may use which classes, its weight in fair shares and its limits at each entry. */
+/**
+ * An organisation: who may use which classes, its weight in fair shares and its limits at each entry. Its own [tier], if
+ * any, goes before the tier of the route that a request takes.
+ */
 @Serializable
 data class Organisation(
     val name: String,
@@ -53,6 +59,7 @@
     val requestsPerSecond: Int = 100,
     @SerialName("tokens_per_second")
     val tokensPerSecond: Int = 20_000,
+    val tier: Int? = null,
 )
 
 @Serializable
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ConfigurationDelta.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ConfigurationDelta.kt
@@ -14,6 +14,8 @@
     val organisations: NamedChanges<Organisation> = NamedChanges(),
     val upstreams: NamedChanges<Upstream> = NamedChanges(),
     val services: NamedChanges<ServiceRoute> = NamedChanges(),
+    val routes: NamedChanges<RequestRoute> = NamedChanges(),
+    val routeServices: NamedChanges<RouteService> = NamedChanges(),
     val weightStore: WeightStore? = null,
 ) {
     /** Returns the configuration of [version], given the one of [baseVersion]. */
@@ -23,6 +25,8 @@
             organisations = organisations.applyTo(base.organisations, Organisation::name),
             upstreams = upstreams.applyTo(base.upstreams, Upstream::name),
             services = services.applyTo(base.services, ServiceRoute::name),
+            routes = routes.applyTo(base.routes, RequestRoute::name),
+            routeServices = routeServices.applyTo(base.routeServices, RouteService::name),
             weightStore = weightStore ?: base.weightStore,
         )
 }
@@ -57,6 +61,8 @@
         organisations = changesBetween(base.organisations, next.organisations, Organisation::name),
         upstreams = changesBetween(base.upstreams, next.upstreams, Upstream::name),
         services = changesBetween(base.services, next.services, ServiceRoute::name),
+        routes = changesBetween(base.routes, next.routes, RequestRoute::name),
+        routeServices = changesBetween(base.routeServices, next.routeServices, RouteService::name),
         weightStore = next.weightStore.takeIf { it != base.weightStore },
     )
 
@@ -67,6 +73,8 @@
         organisations = organisations.sortedBy { it.name },
         upstreams = upstreams.sortedBy { it.name },
         services = services.sortedBy { it.name },
+        routes = routes.sortedBy { it.name },
+        routeServices = routeServices.sortedBy { it.name },
     )
 
 private fun <T> changesBetween(
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -43,6 +43,15 @@
         val accepted: Boolean = true,
     ) : ControlToEntry
 
+    /**
+     * Answers [EntryToControl.ConfirmConfiguration]: no version above [version] was committed when the question arrived.
+     */
+    @Serializable
+    data class ConfigurationConfirmed(
+        val question: Long,
+        val version: Long,
+    ) : ControlToEntry
+
     /** All convictions in force; replaces what the entry had from control. */
     @Serializable
     data class ConvictionUpdate(
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -45,6 +45,12 @@
         val convicted: Boolean,
     ) : EntryToControl
 
+    /** Asks which version is the newest. [question] is the entry's own time of asking and comes back with the answer. */
+    @Serializable
+    data class ConfirmConfiguration(
+        val question: Long,
+    ) : EntryToControl
+
     /** Sent every 2 s. */
     @Serializable
     data class EntryStatus(
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
@@ -42,6 +42,22 @@
         val configuration: Configuration,
     ) : OperatorCommand
 
+    /**
+     * Puts a whole configuration in force under a version that the operator chose. The highest version wins: one that is
+     * not above the current version is accepted and changes nothing. [document] is what the operator wrote, for reading
+     * it back.
+     */
+    @Serializable
+    class ReplaceConfiguration(
+        val version: Long,
+        val document: ByteArray,
+        val configuration: Configuration,
+    ) : OperatorCommand
+
+    /** Reads back the document of the version in force. */
+    @Serializable
+    data object ShowDocument : OperatorCommand
+
     /** [offsetMinutes] is the operator's distance from UTC, in which the sentence states times of day. */
     @Serializable
     data class PlanIntent(
@@ -140,6 +156,13 @@
         val configuration: Configuration,
     ) : OperatorAnswer
 
+    /** The operator's own document of the version in force; null when that version was not made from one. */
+    @Serializable
+    class CurrentDocument(
+        val version: Long,
+        val document: ByteArray?,
+    ) : OperatorAnswer
+
     @Serializable
     data class ReplicaIdentity(
         val member: ReplicaMember,
--- a/routing/src/main/kotlin/hawthorncrank/routing/RoutingPolicy.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RoutingPolicy.kt
@@ -12,4 +12,14 @@
 )
 
 /** How one of several eligible upstreams is chosen. */
-enum class ChoiceRule { TWO_CHOICES, ROUND_ROBIN, LEAST_IN_FLIGHT }
+enum class ChoiceRule {
+    TWO_CHOICES,
+    ROUND_ROBIN,
+    LEAST_IN_FLIGHT,
+
+    /**
+     * Each shared prompt part has a home engine among those in reach, which all entries compute alike without telling each
+     * other; an engine that has much more work than its peers passes the part to the next in its order.
+     */
+    PREFIX_HOME,
+}
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
@@ -74,6 +74,7 @@
         if (state.policy.choice == ChoiceRule.LEAST_IN_FLIGHT) {
             return names.filter(::hasFreeRoom).minByOrNull { upstream(it).own }?.let { chosen(it, false) }
         }
+        if (state.policy.choice == ChoiceRule.PREFIX_HOME && work.prefixBlocks.isNotEmpty()) return nearHome(names)
         val sampled = LinkedHashSet<String>()
         repeat(2) { sampled += names[random.nextInt(names.size)] }
         sampled += matches.keys
@@ -82,6 +83,15 @@
         return names.filter(::hasFreeRoom).minByOrNull(::cost)?.let { chosen(it, false) }
     }
 
+    private fun nearHome(names: List<String>): RoutingAnswer? {
+        val free = names.filter(::hasFreeRoom)
+        if (free.isEmpty()) return null
+        val bound = free.sumOf { upstream(it).own } * HOME_LOAD_FACTOR / free.size + HOME_LOAD_SLACK
+        val part = work.prefixBlocks[maxOf(0, work.prefixBlocks.size - 2)]
+        val ranked = free.sortedByDescending { homeRank(part, it) }
+        return chosen(ranked.firstOrNull { upstream(it).own < bound } ?: ranked.first(), overcommitted = false)
+    }
+
     private fun roundRobin(names: List<String>): RoutingAnswer? {
         for (step in names.indices) {
             val name = names[(state.rotation + step) % names.size]
@@ -150,5 +160,17 @@
         /** Half of the target is left for the longer way and the first token. */
         const val SPENT_BEFORE_LEAVING_REGION = 0.5
         const val ROTATION = 1 shl 20
+
+        /** The bound of consistent hashing with bounded loads: a home takes a quarter more than the mean of its peers. */
+        const val HOME_LOAD_FACTOR = 1.25
+
+        /** Below this many requests the mean says little, and reading a prompt again costs more than the wait. */
+        const val HOME_LOAD_SLACK = 2.0
+
+        /** Rendezvous hashing: the highest rank is the home, and an engine that leaves moves only its own parts. */
+        fun homeRank(
+            part: Long,
+            engine: String,
+        ): Long = SplittableRandom(part xor (engine.hashCode().toLong() shl Int.SIZE_BITS)).nextLong()
     }
 }
