--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
@@ -135,7 +135,9 @@
     }
 
     private fun mayLeaveRegion(candidates: Candidates): Boolean {
-        if (candidates.at(Distance.ZONE).isEmpty() && candidates.at(Distance.REGION).isEmpty()) return true
+        // A retry must not wait here for the upstream that has just failed it.
+        val near = candidates.at(Distance.ZONE) + candidates.at(Distance.REGION)
+        if (near.none(::allowed)) return true
         val settings = state.classes[work.className] ?: return false
         val target = settings.firstToken?.value ?: work.finishBy?.let { (it - work.arrival) / 2 } ?: return false
         return now - work.arrival > target * SPENT_BEFORE_LEAVING_REGION
