--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
@@ -76,8 +76,11 @@
     val (_, links, _, questions) = state.confirmation
     state = state.copy(confirmation = state.confirmation.copy(ticket = null, current = persistentSetOf()))
     links.forEach(::sendConfirmed)
+    val entries =
+        state.control.entries.values
+            .count { it.replica != null }
     questions.forEach { (link, question) ->
-        send(link, ControlToEntry.ConfigurationConfirmed(question, state.control.version))
+        send(link, ControlToEntry.ConfigurationConfirmed(question, state.control.version, entries))
     }
     startConfirmation()
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
@@ -36,6 +36,7 @@
         val promptTokens: Int,
         val maximumTokens: Int?,
         val prefixBlocks: List<Long>,
+        val sharedTokens: Int = 0,
     ) : RequestTarget
 
     /** A call of a plain service. [idempotencyKey] is present whenever [idempotent] is false. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
@@ -166,6 +166,7 @@
         bodyBytes = request.bodyBytes,
         prefixBlocks = model?.prefixBlocks.orEmpty(),
         idempotent = request.isIdempotent,
+        sharedTokens = model?.sharedTokens ?: 0,
     )
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Proof.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Proof.kt
@@ -6,11 +6,12 @@
 
 /**
  * The proof that the configuration in force is the newest. Its age counts from the moment of asking, because a newer
- * version may have been accepted at any time after that.
+ * version may have been accepted at any time after that. [entries] of the fleet were linked to control then.
  */
 internal data class ProofState(
     val askedAt: Long? = null,
     val provedAt: Long? = null,
+    val entries: Int = 0,
 )
 
 internal fun Reduction.proofTick() {
@@ -26,11 +27,20 @@
 }
 
 internal fun Reduction.configurationConfirmed(message: ControlToEntry.ConfigurationConfirmed) {
+    fleetSeen(message.entries)
     if (message.version > state.configuration.version) return
     val provedAt = maxOf(state.proof.provedAt ?: message.question, message.question)
     state = state.copy(proof = state.proof.copy(provedAt = provedAt))
 }
 
+/** Entries stand evenly over the zones; each owns its part of the engines there. */
+private fun Reduction.fleetSeen(entries: Int) {
+    if (entries == state.proof.entries || entries == 0) return
+    state = state.copy(proof = state.proof.copy(entries = entries))
+    val zones = maxOf(1, settings.regions.size)
+    state = state.copy(router = state.router.setLiveEntries((entries + zones - 1) / zones))
+}
+
 internal val Reduction.proofHolds: Boolean
     get() {
         val lifetime = settings.behaviour.proofLifetime ?: return true
--- a/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
@@ -80,6 +80,6 @@
             brokenConnectionIsCrash = false,
             connectFailuresToExclude = 1,
             scheduling = SchedulingPolicy(preemption = false, floor = false),
-            routing = RoutingPolicy(choice = ChoiceRule.PREFIX_HOME, prefixAffinity = false),
+            routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
         )
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -67,7 +67,14 @@
         idempotent: Boolean,
     ): RequestTarget =
         if (view.servesModels(service)) {
-            RequestTarget.Model(service, caller.promptTokens, caller.maximumTokens, prefixBlocks(caller.promptParts))
+            RequestTarget.Model(
+                model = service,
+                promptTokens = caller.promptTokens,
+                maximumTokens = caller.maximumTokens,
+                prefixBlocks = prefixBlocks(caller.promptParts),
+                // The last part belongs to the request itself.
+                sharedTokens = caller.promptParts.dropLast(1).sumOf { it.tokens },
+            )
         } else {
             RequestTarget.Service(service, idempotent, idempotencyKey = null)
         }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -45,11 +45,13 @@
 
     /**
      * Answers [EntryToControl.ConfirmConfiguration]: no version above [version] was committed when the question arrived.
+     * [entries] are linked to the replicas, as far as this one knows.
      */
     @Serializable
     data class ConfigurationConfirmed(
         val question: Long,
         val version: Long,
+        val entries: Int = 0,
     ) : ControlToEntry
 
     /** All convictions in force; replaces what the entry had from control. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
@@ -47,6 +47,9 @@
         now: Long,
     ): Router
 
+    /** The first token has come, so that the engine has read the prompt. */
+    fun attemptBegan(attemptNumber: Long): Router
+
     /** [tokens] is the total of the attempt. */
     fun attemptProgress(
         attemptNumber: Long,
--- a/routing/src/main/kotlin/hawthorncrank/routing/RoutingPolicy.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RoutingPolicy.kt
@@ -9,6 +9,8 @@
     val slowDetection: Boolean = true,
     /** Without it, reported load counts in full at any age. */
     val loadDiscounting: Boolean = true,
+    /** Whether part of every engine is kept for the floors of classes. */
+    val reservesFloors: Boolean = true,
 )
 
 /** How one of several eligible upstreams is chosen. */
@@ -17,9 +19,6 @@
     ROUND_ROBIN,
     LEAST_IN_FLIGHT,
 
-    /**
-     * Each shared prompt part has a home engine among those in reach, which all entries compute alike without telling each
-     * other; an engine that has much more work than its peers passes the part to the next in its order.
-     */
-    PREFIX_HOME,
+    /** The engine on which the first token of a prompt is expected soonest; other work by [TWO_CHOICES]. */
+    LEAST_DELAY,
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Choosing.kt
@@ -31,8 +31,15 @@
     fun choose(): RoutingAnswer {
         val candidates = state.candidates[work.target] ?: return RoutingAnswer.NoUpstream
         if (question.constraint.isolated) return isolated(candidates)
+        if (state.policy.choice == ChoiceRule.LEAST_DELAY && work.promptTokens > 0) {
+            return soonest(candidates.all) ?: noRoom(candidates)
+        }
         within(listOf(candidates.at(Distance.ZONE), candidates.at(Distance.REGION)))?.let { return it }
         if (mayLeaveRegion(candidates)) within(listOf(candidates.at(Distance.ELSEWHERE)))?.let { return it }
+        return noRoom(candidates)
+    }
+
+    private fun noRoom(candidates: Candidates): RoutingAnswer {
         val excludedAll = candidates.all.all { it in question.constraint.excluded }
         return if (excludedAll) RoutingAnswer.ConstraintUnmet else RoutingAnswer.NoRoom
     }
@@ -74,7 +81,6 @@
         if (state.policy.choice == ChoiceRule.LEAST_IN_FLIGHT) {
             return names.filter(::hasFreeRoom).minByOrNull { upstream(it).own }?.let { chosen(it, false) }
         }
-        if (state.policy.choice == ChoiceRule.PREFIX_HOME && work.prefixBlocks.isNotEmpty()) return nearHome(names)
         val sampled = LinkedHashSet<String>()
         repeat(2) { sampled += names[random.nextInt(names.size)] }
         sampled += matches.keys
@@ -83,13 +89,16 @@
         return names.filter(::hasFreeRoom).minByOrNull(::cost)?.let { chosen(it, false) }
     }
 
-    private fun nearHome(names: List<String>): RoutingAnswer? {
+    /** All engines in reach are compared, because a prompt that is already read elsewhere is worth the longer way. */
+    private fun soonest(names: List<String>): RoutingAnswer? {
+        val delays = PromptDelays(state, work, matches)
         val free = names.filter(::hasFreeRoom)
-        if (free.isEmpty()) return null
-        val bound = free.sumOf { upstream(it).own } * HOME_LOAD_FACTOR / free.size + HOME_LOAD_SLACK
-        val part = work.prefixBlocks[maxOf(0, work.prefixBlocks.size - 2)]
-        val ranked = free.sortedByDescending { homeRank(part, it) }
-        return chosen(ranked.firstOrNull { upstream(it).own < bound } ?: ranked.first(), overcommitted = false)
+        val normal = free.filter { state.factor(upstream(it)) >= 1.0 }
+        return normal.ifEmpty { free }.minByOrNull(delays::delay)?.let { chosen(it, overcommitted = false) }
+            ?: names
+                .filter { allowed(it) && roomFor(upstream(it).sharedUpTo(question.tier), upstream(it)) }
+                .minByOrNull(delays::delay)
+                ?.let { chosen(it, overcommitted = true) }
     }
 
     private fun roundRobin(names: List<String>): RoutingAnswer? {
@@ -162,17 +171,5 @@
         /** Half of the target is left for the longer way and the first token. */
         const val SPENT_BEFORE_LEAVING_REGION = 0.5
         const val ROTATION = 1 shl 20
-
-        /** The bound of consistent hashing with bounded loads: a home takes a quarter more than the mean of its peers. */
-        const val HOME_LOAD_FACTOR = 1.25
-
-        /** Below this many requests the mean says little, and reading a prompt again costs more than the wait. */
-        const val HOME_LOAD_SLACK = 2.0
-
-        /** Rendezvous hashing: the highest rank is the home, and an engine that leaves moves only its own parts. */
-        fun homeRank(
-            part: Long,
-            engine: String,
-        ): Long = SplittableRandom(part xor (engine.hashCode().toLong() shl Int.SIZE_BITS)).nextLong()
     }
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -111,6 +111,16 @@
         return next.countCrossRegion(state, attempt, attempt.work.bodyBytes.toLong())
     }
 
+    override fun attemptBegan(attemptNumber: Long): Router {
+        val running = attempts[attemptNumber] ?: return this
+        val state = upstreams[running.attempt.upstream] ?: return this
+        if (!running.reading) return this
+        return copy(
+            upstreams = upstreams.put(running.attempt.upstream, state.hasRead(running.attempt.work)),
+            attempts = attempts.put(attemptNumber, running.copy(reading = false)),
+        )
+    }
+
     override fun attemptProgress(
         attemptNumber: Long,
         tokens: Int,
@@ -120,7 +130,7 @@
         val produced = tokens - running.tokens
         val elapsed = now - running.tokensAt
         if (produced < 1 || elapsed < 1) return this
-        val next = copy(attempts = attempts.put(attemptNumber, RunningAttempt(running.attempt, tokens, now)))
+        val next = copy(attempts = attempts.put(attemptNumber, running.copy(tokens = tokens, tokensAt = now)))
         if (running.tokens == 0) return next
         return next.observeInterval(running.attempt.upstream, elapsed.toDouble() / produced, now)
     }
@@ -129,9 +139,11 @@
         attemptNumber: Long,
         answerBytes: Long,
     ): Router {
-        val attempt = attempts[attemptNumber]?.attempt ?: return this
+        val running = attempts[attemptNumber] ?: return this
+        val attempt = running.attempt
         val next = copy(attempts = attempts.remove(attemptNumber))
-        val state = upstreams[attempt.upstream] ?: return next
+        val known = upstreams[attempt.upstream] ?: return next
+        val state = if (running.reading) known.hasRead(attempt.work) else known
         return next
             .copy(upstreams = upstreams.put(attempt.upstream, state.ended(attempt)))
             .countCrossRegion(state, attempt, answerBytes)
@@ -233,10 +245,18 @@
         return copy(
             candidates = byTarget.mapValues { (_, states) -> Candidates(states) }.toPersistentHashMap(),
             zonesSharing = Distance.entries.map(::zonesWithin),
-            floorFraction = if (slots == 0) 0.0 else minOf(LARGEST_FLOOR_FRACTION, floorSlots.toDouble() / slots),
+            floorFraction = floorFraction(floorSlots, slots),
         )
     }
 
+    private fun floorFraction(
+        floorSlots: Int,
+        slots: Int,
+    ): Double {
+        if (slots == 0 || !policy.reservesFloors) return 0.0
+        return minOf(LARGEST_FLOOR_FRACTION, floorSlots.toDouble() / slots)
+    }
+
     /** How many availability zones, this one included, have upstreams within the distance. */
     private fun zonesWithin(distance: Distance): Int {
         val zones = upstreams.values.filter { it.distance <= distance }.map { it.settings.availabilityZone }
@@ -277,13 +297,33 @@
             states.filter { it.distance == distance }.map { it.settings.name }
         }
 
+    private val forShortPrompts =
+        states
+            .groupBy { it.settings.availabilityZone }
+            .values
+            .flatMapTo(HashSet()) { shortPromptEngines(it) }
+
     fun at(distance: Distance): List<String> = byDistance[distance.ordinal]
+
+    fun isForShortPrompts(name: String): Boolean = name in forShortPrompts
+
+    private fun shortPromptEngines(zone: List<UpstreamState>): List<String> {
+        val count = (zone.size * SHORT_PROMPT_SHARE + 0.5).toInt()
+        return zone.map { it.settings.name }.sortedByDescending { PromptDelays.homeRank(0, it) }.take(count)
+    }
+
+    private companion object {
+        // Short prompts are a quarter to a third of the tokens that the users' engines generate, and little of what they read.
+        const val SHORT_PROMPT_SHARE = 0.34
+    }
 }
 
-internal class RunningAttempt(
+/** [reading] lasts until the first token. */
+internal data class RunningAttempt(
     val attempt: RoutedAttempt,
     val tokens: Int,
     val tokensAt: Long,
+    val reading: Boolean = true,
 )
 
 internal class PeerMedian(
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
@@ -4,11 +4,15 @@
 import hawthorncrank.routing.RoutedAttempt
 import hawthorncrank.routing.UpstreamLoad
 import hawthorncrank.scheduling.CapacityKind
+import hawthorncrank.scheduling.QueuedWork
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.math.pow
 
-/** What this entry knows of one upstream. [shared] counts its own attempts on shared capacity by tier. */
+/**
+ * What this entry knows of one upstream. [shared] counts its own attempts on shared capacity by tier; [pendingPrompt] the
+ * tokens of their prompts that the upstream has still to read.
+ */
 internal data class UpstreamState(
     val settings: Upstream,
     val distance: Distance,
@@ -16,6 +20,7 @@
     val shared: PersistentList<Int> = NO_ATTEMPTS,
     val floor: Int = 0,
     val suspects: Int = 0,
+    val pendingPrompt: Int = 0,
     val report: ObservedReport? = null,
     val speed: SpeedState = SpeedState(),
     val cache: CacheState = CacheState(settings.name),
@@ -36,7 +41,12 @@
         return sum
     }
 
-    fun started(attempt: RoutedAttempt): UpstreamState = counted(attempt, 1)
+    fun started(attempt: RoutedAttempt): UpstreamState =
+        counted(attempt, 1).copy(pendingPrompt = pendingPrompt + attempt.work.promptTokens - attempt.work.sharedTokens)
+
+    /** The prompt of [work] no longer waits to be read. */
+    fun hasRead(work: QueuedWork): UpstreamState =
+        copy(pendingPrompt = (pendingPrompt - work.promptTokens + work.sharedTokens).coerceAtLeast(0))
 
     fun ended(attempt: RoutedAttempt): UpstreamState = counted(attempt, -1)
 
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/QueuedWork.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/QueuedWork.kt
@@ -2,7 +2,8 @@
 
 /**
  * A request as the scheduler sees it. Times are milliseconds of the entry's clock. [finishBy] is absent where the
- * answer is useful at any time. [prefixBlocks] are digests of the growing prompt prefix, shortest first.
+ * answer is useful at any time. [prefixBlocks] are digests of the growing prompt prefix, shortest first;
+ * [sharedTokens] of the prompt are in parts that other requests may share.
  */
 data class QueuedWork(
     val requestNumber: Long,
@@ -17,6 +18,7 @@
     val bodyBytes: Int,
     val prefixBlocks: List<Long>,
     val idempotent: Boolean,
+    val sharedTokens: Int = 0,
 ) {
     /** Whether running it twice is harmless and it holds an engine's batch slot, so that it may be preempted. */
     val preemptable: Boolean
