--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
@@ -4,8 +4,8 @@
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.Conviction
 import kotlinx.collections.immutable.persistentSetOf
-import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.plus
+import kotlinx.collections.immutable.toPersistentMap
 
 /*
  * What entries are sent without asking. A new version goes out at once as an unconfirmed change, and again as confirmed
--- /dev/null
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ReplaceConfigurationTest.kt
@@ -0,0 +1,164 @@
+package hawthorncrank.control.internal
+
+import hawthorncrank.common.KeyHash
+import hawthorncrank.control.ControlHistory
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.Destination
+import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.OperatorAnswer
+import hawthorncrank.protocol.OperatorCommand
+import hawthorncrank.protocol.OperatorResponse
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.Repetition
+import hawthorncrank.protocol.RequestRoute
+import hawthorncrank.protocol.RouteService
+import hawthorncrank.protocol.TrafficClass
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Whole configurations under the operator's own versions, from several operators through several replicas. */
+class ReplaceConfigurationTest {
+    private val group = VirtualGroup(3)
+    private val first = ControlHistory.initial
+
+    @Test
+    fun `the highest version wins and a lower or equal one is acknowledged without effect`() {
+        accepted(7, first)
+        val other = first.copy(classes = first.classes.map { it.copy(tier = 5) })
+        accepted(7, other)
+        accepted(3, other)
+        assertEquals(listOf(7L, 7L, 7L), group.states().map { it.control.version })
+        group.states().forEach { assertEquals(first.classes, it.control.configuration.classes) }
+        accepted(20, other)
+        assertEquals(
+            5,
+            group
+                .states()
+                .first()
+                .control.configuration.classes
+                .first()
+                .tier,
+        )
+    }
+
+    /** Guards against a change that is lost because another came first on the same base. */
+    @Test
+    fun `of two changes sent at once through two replicas both are acknowledged and the higher is in force`() {
+        accepted(1, first)
+        val replicas = listOf(group.leader(), group.follower())
+        replicas.forEachIndexed { index, replica ->
+            val command = OperatorCommand.ReplaceConfiguration(10L + index, byteArrayOf(index.toByte()), first)
+            group.deliver(replica, ControlEvent.OperatorMessage(LINK, index.toLong(), "operator", command))
+        }
+        group.run(2_000)
+        replicas.forEachIndexed { index, replica ->
+            val answers = group.sent(replica, LINK).filterIsInstance<OperatorResponse>()
+            assertIs<OperatorAnswer.Accepted>(answers.single { it.number == index.toLong() }.answer)
+        }
+        assertEquals(listOf(11L, 11L, 11L), group.states().map { it.control.version })
+        assertEquals(listOf<Byte>(1), document(group.follower()).toList())
+    }
+
+    @Test
+    fun `the document is read back as it was sent, from any replica`() {
+        accepted(4, first, "{ \"a\" : 1 }".encodeToByteArray())
+        assertEquals("{ \"a\" : 1 }", document(group.leader()).decodeToString())
+        assertEquals("{ \"a\" : 1 }", document(group.follower()).decodeToString())
+    }
+
+    @Test
+    fun `an isolated replica reads nothing back`() {
+        accepted(4, first)
+        val isolated = group.follower()
+        group.cut(isolated)
+        assertIs<OperatorAnswer.Refused>(group.operate(isolated, OperatorCommand.ShowDocument))
+    }
+
+    /** Guards against an acknowledged configuration that rests on the one disk of a group that still grows. */
+    @Test
+    fun `changes wait until the group has its voters`() {
+        val single = VirtualGroup(1, requiredVoters = 3)
+        val answer = single.operate(single.leader(), OperatorCommand.ReplaceConfiguration(1, ByteArray(0), first))
+        assertTrue(assertIs<OperatorAnswer.Refused>(answer).elsewhere)
+    }
+
+    @Test
+    fun `routes must name known services, stand alone in their place, have weight and time, and keys one owner`() {
+        accepted(1, routed())
+        val route = routed().routes.single()
+        val organisation = routed().organisations.single()
+        val invalid =
+            listOf(
+                routed().copy(routeServices = emptyList()),
+                routed().copy(routes = listOf(route, route.copy(name = "other"))),
+                routed().copy(routes = listOf(route.copy(destinations = listOf(Destination("orders", 0))))),
+                routed().copy(
+                    classes = routed().classes.map { it.copy(finishBy = hawthorncrank.common.Milliseconds(0)) },
+                ),
+                routed().copy(organisations = listOf(organisation, organisation.copy(name = "second"))),
+            )
+        invalid.forEachIndexed { index, configuration ->
+            val command = OperatorCommand.ReplaceConfiguration(10L + index, ByteArray(0), configuration)
+            val refused = assertIs<OperatorAnswer.Refused>(group.operate(group.leader(), command), "number $index")
+            assertTrue(!refused.elsewhere, "number $index may be accepted elsewhere")
+        }
+        assertEquals(listOf(1L, 1L, 1L), group.states().map { it.control.version })
+    }
+
+    /** Guards against an entry that takes an old answer for a proof that its configuration is the newest. */
+    @Test
+    fun `a question for the newest version is answered by a read that began after it`() {
+        accepted(3, first)
+        val follower = group.follower()
+        group.entry(follower, 1, EntryToControl.EntryHello("ignored", "zone", 3))
+        group.run(1_000)
+        group.entry(follower, 1, EntryToControl.ConfirmConfiguration(77))
+        group.run(500)
+        val answer = group.sent(follower, 1).filterIsInstance<ControlToEntry.ConfigurationConfirmed>().single()
+        assertEquals(ControlToEntry.ConfigurationConfirmed(77, 3, entries = 1), answer)
+        group.cut(follower)
+        group.entry(follower, 1, EntryToControl.ConfirmConfiguration(78))
+        group.run(5_000)
+        assertEquals(1, group.sent(follower, 1).filterIsInstance<ControlToEntry.ConfigurationConfirmed>().size)
+    }
+
+    private fun accepted(
+        version: Long,
+        configuration: Configuration,
+        document: ByteArray = ByteArray(0),
+    ) {
+        val command = OperatorCommand.ReplaceConfiguration(version, document, configuration)
+        assertIs<OperatorAnswer.Accepted>(group.operate(group.leader(), command))
+        group.run(1_000)
+    }
+
+    private fun document(replica: String): ByteArray =
+        assertIs<OperatorAnswer.CurrentDocument>(group.operate(replica, OperatorCommand.ShowDocument)).document!!
+
+    private fun routed() =
+        Configuration(
+            classes = listOf(TrafficClass("level tier 1", 1)),
+            organisations =
+                listOf(Organisation("one", "any", listOf("level tier 1"), listOf(KeyHash.digest("a key")))),
+            routes =
+                listOf(
+                    RequestRoute(
+                        "route",
+                        "host",
+                        "/path/",
+                        "level",
+                        1,
+                        listOf(Destination("orders")),
+                        Repetition.IDEMPOTENT,
+                    ),
+                ),
+            routeServices = listOf(RouteService("orders")),
+        )
+
+    private companion object {
+        const val LINK = 901L
+    }
+}
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -18,6 +18,7 @@
 /** Control processes in virtual time, with perfect disks and a network that a test can cut. */
 internal class VirtualGroup(
     size: Int,
+    private val requiredVoters: Int = 1,
 ) {
     private val names = List(size) { "control-${it + 1}" }
     private val peers = names.map { ReplicaPeer(it, address(it)) }
@@ -45,7 +46,8 @@
             val started =
                 startReplica(settings, node.name, address(node.name), RecoveredReplica(node.name + "-id"), seed, now)
             node.reducer = controlReducer(decisions)
-            node.state = ProcessState(started.state, nonce = node.name, startedAt = now)
+            node.state =
+                ProcessState(started.state, nonce = node.name, startedAt = now, requiredVoters = requiredVoters)
             val transition = startedProcess(decisions, node.state, started.effects, now)
             node.state = transition.state
             transition.effects.forEach { carryOut(node, it) }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -120,7 +120,6 @@
         slots = listed.slots,
     )
 
-
 internal fun Reduction.upstreamAnswered(name: String) {
     val observation = state.membership.observed[name] ?: return
     if (observation.excluded == null) membership { it.copy(observed = it.observed.remove(name)) }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -31,7 +31,12 @@
         !proofHolds -> Refusal.ConfigurationUnproved
         !permitted -> Refusal.NotPermitted(request.className)
         !mayRun(request.contentDigest) -> Refusal.Convicted(request.contentDigest)
-        state.configuration.effective.upstreams.none { serves(it, request.target) } -> Refusal.NoUpstream(request.target.label)
+        state.configuration.effective.upstreams.none {
+            serves(
+                it,
+                request.target,
+            )
+        } -> Refusal.NoUpstream(request.target.label)
         request.needsClaim && idempotencyKey(request).isEmpty() -> Refusal.KeyMissing
         else -> null
     }
--- /dev/null
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -0,0 +1,141 @@
+package hawthorncrank.entry.core
+
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.RouteService
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.routing.ChoiceRule
+import hawthorncrank.routing.RoutingPolicy
+import hawthorncrank.scheduling.SchedulingPolicy
+
+/** A script for an entry behind routes: its upstreams come from the platform's list, and its configuration needs proof. */
+internal class RoutedScenario(
+    listed: List<ListedUpstream> =
+        listOf(listedEngine("e1"), listedEngine("e2"), listedService("s1"), listedService("s2")),
+    classes: List<TrafficClass> = sampleConfiguration().classes,
+) {
+    private val settings =
+        EntrySettings(
+            "a",
+            "zone",
+            "region",
+            listOf("a"),
+            randomSeed = 7,
+            regions = mapOf("zone" to "region"),
+            behaviour =
+                EntryBehaviour(
+                    proofLifetime = PROOF_LIFETIME,
+                    acceptAfterStop = 3_000,
+                    brokenConnectionIsCrash = false,
+                    connectFailuresToExclude = 1,
+                    scheduling = SchedulingPolicy(preemption = false, floor = false),
+                    routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
+                ),
+        )
+    private val reducer = entryReducer(settings)
+    private var state = initialEntryState(settings)
+    var now = 1_000_000L
+    val configuration =
+        sampleConfiguration().copy(
+            upstreams = emptyList(),
+            classes = classes,
+            routeServices = listOf(RouteService("model", servesModels = true), RouteService("orders")),
+        )
+
+    init {
+        send(EntryEvent.ControlLinkOpened)
+        control(ControlToEntry.ConfigurationUpdate(5, configuration, confirmed = true))
+        control(ControlToEntry.ConfigurationConfirmed(now, 5))
+        send(EntryEvent.UpstreamsListed(listed))
+    }
+
+    fun send(event: EntryEvent): List<EntryEffect> {
+        val transition = reducer.reduce(state, event, now)
+        state = transition.state
+        return transition.effects
+    }
+
+    fun control(message: ControlToEntry) = send(EntryEvent.ControlMessageReceived(message))
+
+    /** Lets time pass in ticks while control answers every question about the configuration. */
+    fun pass(milliseconds: Long): List<EntryEffect> =
+        (1..milliseconds / 100).flatMap {
+            now += 100
+            val effects = send(EntryEvent.Tick)
+            effects + effects.toControl<EntryToControl.ConfirmConfiguration>().flatMap(::answer)
+        }
+
+    /** Lets time pass without any answer of control. */
+    fun passUnproved(milliseconds: Long): List<EntryEffect> =
+        (1..milliseconds / 100).flatMap {
+            now += 100
+            send(EntryEvent.Tick)
+        }
+
+    private fun answer(question: EntryToControl.ConfirmConfiguration) =
+        control(ControlToEntry.ConfigurationConfirmed(question.question, 5))
+
+    fun call(
+        number: Long,
+        rule: RepetitionRule,
+        service: String = "orders",
+        finishBy: Long? = now + 10_000,
+    ): List<EntryEffect> {
+        val target = RequestTarget.Service(service, rule.idempotent, idempotencyKey = null)
+        return arrive(number, target, rule, streamed = false, finishBy)
+    }
+
+    fun stream(
+        number: Long,
+        rule: RepetitionRule,
+        finishBy: Long? = now + 10_000,
+    ): List<EntryEffect> {
+        val target = RequestTarget.Model("model", 20, 20, emptyList())
+        return arrive(number, target, rule, streamed = true, finishBy)
+    }
+
+    private fun arrive(
+        number: Long,
+        target: RequestTarget,
+        rule: RepetitionRule,
+        streamed: Boolean,
+        finishBy: Long?,
+    ): List<EntryEffect> {
+        val request =
+            CallerRequest(
+                number,
+                "lumen",
+                "quick",
+                target,
+                "content-$number",
+                100,
+                streamed,
+                finishBy,
+                identifier = "attempt-$number",
+                repetition = rule,
+            )
+        return send(EntryEvent.RequestArrived(request))
+    }
+
+    fun end(
+        attemptNumber: Long,
+        end: AttemptEnd,
+    ) = send(EntryEvent.AttemptEnded(attemptNumber, end))
+
+    companion object {
+        const val PROOF_LIFETIME = 4_500L
+        val IDEMPOTENT = RepetitionRule(idempotent = true, resumable = false, engineAttempts = 2)
+        val ONCE = RepetitionRule(idempotent = false, resumable = false, engineAttempts = 1)
+        val RESUMABLE = RepetitionRule(idempotent = true, resumable = true, engineAttempts = 2)
+    }
+}
+
+internal fun listedEngine(
+    name: String,
+    leaving: Boolean = false,
+) = ListedUpstream(name, "model", "127.0.0.1:1", "zone", slots = 6, leaving)
+
+internal fun listedService(
+    name: String,
+    leaving: Boolean = false,
+) = ListedUpstream(name, "orders", "127.0.0.1:2", "zone", slots = 6, leaving)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ConfigurationView.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ConfigurationView.kt
@@ -1,7 +1,7 @@
 package hawthorncrank.entry.internal
 
-import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.ANONYMOUS_ORGANISATION
+import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.Organisation
 import hawthorncrank.protocol.RequestRoute
 import hawthorncrank.protocol.ServiceRoute
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -73,7 +73,11 @@
         val existing = relay
         val relay = existing ?: StreamRelay(loop).also { relay = it }
         relay.connect(attempt::pull)
-        if (existing == null) deliver(CallerAnswer.Stream(request.form.streamHeaders(attempt.answerHeaders), relay.body))
+        if (existing ==
+            null
+        ) {
+            deliver(CallerAnswer.Stream(request.form.streamHeaders(attempt.answerHeaders), relay.body))
+        }
     }
 
     fun streamed(
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
@@ -43,7 +43,14 @@
         idempotent: Boolean,
     ) {
         val request =
-            OutgoingRequest(HttpMethod.POST, "/", emptyList(), idempotent, streamed = false, ownInterface()) { _, _ -> ByteArray(0) }
+            OutgoingRequest(
+                HttpMethod.POST,
+                "/",
+                emptyList(),
+                idempotent,
+                streamed = false,
+                ownInterface(),
+            ) { _, _ -> ByteArray(0) }
         val attempt =
             EntryEffect.StartAttempt(
                 attemptNumber = 1,
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -20,7 +20,8 @@
     private val matches: Map<String, Double>,
 ) {
     private val candidates = state.candidates[work.target]
-    private val isLong = work.promptTokens - work.sharedTokens >= LONG_PROMPT_TOKENS || work.sharedTokens >= LONG_PROMPT_TOKENS
+    private val isLong =
+        work.promptTokens - work.sharedTokens >= LONG_PROMPT_TOKENS || work.sharedTokens >= LONG_PROMPT_TOKENS
     private val home = home()
 
     fun delay(name: String): Double {
@@ -43,7 +44,17 @@
         val all = candidates?.all.orEmpty()
         val eligible = if (isLong) all.filterNot { candidates?.isForShortPrompts(it) ?: false }.ifEmpty { all } else all
         val worthTheWay = work.sharedTokens / TOKENS_READ_PER_MILLISECOND > WAY_MILLISECONDS.last()
-        val reach = if (worthTheWay) eligible else eligible.filter { distance(it) == Distance.ZONE }.ifEmpty { eligible }
+        val reach =
+            if (worthTheWay) {
+                eligible
+            } else {
+                eligible
+                    .filter {
+                        distance(
+                            it,
+                        ) == Distance.ZONE
+                    }.ifEmpty { eligible }
+            }
         return reach.maxByOrNull { homeRank(part, it) }
     }
 
--- /dev/null
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptDelaysTest.kt
@@ -0,0 +1,107 @@
+package hawthorncrank.routing
+
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.UpstreamKind
+import hawthorncrank.scheduling.CapacityKind
+import hawthorncrank.scheduling.QueuedWork
+import hawthorncrank.scheduling.WorkTarget
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Where prompts go when entries see only their own work: the loads are many callers of few long prompts, and a hot one. */
+class PromptDelaysTest {
+    private val engines = listOf("north", "south", "west").flatMap { zone -> (1..3).map { engine("$zone-$it", zone) } }
+
+    /** Guards against every zone reading every shared prompt for itself. */
+    @Test
+    fun `entries of all zones send a long shared prompt to the same engine`() {
+        for (part in 1L..20L) {
+            val homes = listOf("north", "south", "west").map { place(routerIn(it), long(part, 1)) }
+            assertEquals(1, homes.distinct().size, "part $part goes to $homes")
+        }
+    }
+
+    /** Guards against pauses of short answers while an engine reads a long prompt. */
+    @Test
+    fun `long and short prompts go to different engines`() {
+        val long = (1L..40L).map { place(routerIn("north"), long(it, 1)) }.toSet()
+        val short = (1L..40L).map { place(routerIn("north"), short(it)) }.toSet()
+        assertEquals(emptySet(), long intersect short)
+        assertTrue(short.all { it.startsWith("north") }, "short prompts leave their zone: $short")
+    }
+
+    /** Guards against one hot prompt that piles up at its home while other engines stand free. */
+    @Test
+    fun `a hot prompt is read elsewhere once its home has more to read than the prompt`() {
+        var router = routerIn("north")
+        val placed =
+            (1L..12L).map { number ->
+                val work = long(7, number)
+                val name = place(router, work)
+                router = router.attemptStarted(RoutedAttempt(number, name, work, 1, CapacityKind.SHARED), 0)
+                name
+            }
+        assertTrue(placed.toSet().size > 1, "all go to ${placed.first()}")
+        val read = placed.indices.fold(router) { next, index -> next.attemptBegan(index + 1L) }
+        assertTrue(place(read, long(7, 99)) in placed, "an engine that would have to read the prompt is chosen")
+    }
+
+    @Test
+    fun `an engine that leaves moves only its own prompts`() {
+        val before = (1L..40L).associateWith { place(routerIn("north"), long(it, 1)) }
+        val gone = before.getValue(1)
+        val after = (1L..40L).associateWith { place(routerIn("north").setEligible(gone, false), long(it, 1)) }
+        before.filterValues { it != gone }.forEach { (part, name) -> assertEquals(name, after[part]) }
+    }
+
+    private fun routerIn(zone: String) =
+        router(
+            Configuration(classes = listOf(TrafficClass("class", 1)), upstreams = engines),
+            RouterLocation(zone, zone),
+            liveEntries = 1,
+            randomSeed = zone.hashCode().toLong(),
+            policy = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
+        )
+
+    private fun place(
+        router: Router,
+        work: QueuedWork,
+    ): String = assertIs<RoutingAnswer.Chosen>(router.place(RoutingQuestion(work, 1, CapacityKind.SHARED), 0)).upstream
+
+    private fun long(
+        part: Long,
+        number: Long,
+    ) = work(number, promptTokens = 17_000, sharedTokens = 13_300, listOf(part, part * 1_000 + number))
+
+    private fun short(number: Long) = work(number, promptTokens = 1_460, sharedTokens = 350, listOf(number % 8, number))
+
+    private fun work(
+        number: Long,
+        promptTokens: Int,
+        sharedTokens: Int,
+        blocks: List<Long>,
+    ) = QueuedWork(
+        number,
+        "organisation",
+        "class",
+        1,
+        WorkTarget.Model("model"),
+        arrival = 0,
+        finishBy = null,
+        promptTokens,
+        maximumTokens = 100,
+        bodyBytes = 100,
+        prefixBlocks = blocks,
+        idempotent = true,
+        sharedTokens = sharedTokens,
+    )
+
+    private fun engine(
+        name: String,
+        zone: String,
+    ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, models = listOf("model"), slots = 64)
+}
