Let the leader's duties keep their pace beside reads, and send lost records again

Answers to heartbeats also hid that records on their way were lost. Ruled out: the storage of the learner (it acknowledged and applied the records), lost links (both were open). Change: duties have their own time, and only confirmed records count as progress. Conclusion: rounds and duties are different things.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Phase.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Phase.kt
@@ -23,12 +23,14 @@
 /**
  * Leads the term. [firstIndex] is the record that opened the term; reads and membership changes wait for its commit. A
  * [round] is one broadcast; [roundTimes] holds when each unconfirmed round was sent, and [contactAt] when the newest
- * confirmed one was.
+ * confirmed one was. Reads start rounds too, so [dutiesAt] says apart from [heartbeatAt] when the work that goes with
+ * heartbeats was done.
  */
 internal data class Leading(
     val firstIndex: Long,
     val contactAt: Long,
     val heartbeatAt: Long,
+    val dutiesAt: Long = heartbeatAt,
     val round: Long = 0,
     val confirmedRound: Long = 0,
     val roundTimes: PersistentMap<Long, Long> = persistentMapOf(),
@@ -70,6 +72,7 @@
     val probing: Boolean = true,
     val inFlight: PersistentList<Long> = persistentListOf(),
     val sentAt: Long = 0,
+    val matchedAt: Long = 0,
     val confirmedRound: Long = 0,
     val transfer: SnapshotTransfer? = null,
     val heard: Boolean = false,
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveryTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveryTest.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.consensus
 
+import hawthorncrank.protocol.ReplicaMessage
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -47,6 +48,32 @@
         assertEquals(before, group.voters.toSet())
     }
 
+    /** Guards against reads that put off what the leader does with its heartbeats, such as admitting a voter. */
+    @Test
+    fun `a replica is admitted while reads come faster than heartbeats`() {
+        repeat(400) {
+            group.run(50)
+            group.leader?.let { group.read(it.name) }
+        }
+        assertEquals(3, group.voters.size)
+    }
+
+    /** Guards against a replica that waits for ever for records that were lost while heartbeats are answered. */
+    @Test
+    fun `records that were lost on their way to a new replica are sent again`() {
+        group.recordMessages = true
+        assertTrue(group.run(20_000) { firstWithRecords() != null })
+        val recipient = group.replicas.keys.single { group.member(it).identity == firstWithRecords()!!.recipient }
+        val lost = setOf(group.leader!!.name to recipient)
+        group.cuts += lost
+        group.run(25)
+        group.cuts -= lost
+        settle()
+    }
+
+    private fun firstWithRecords() =
+        group.sentMessages.firstOrNull { (it.message as? ReplicaMessage.Append)?.records?.isNotEmpty() == true }
+
     @Test
     fun `without a target unknown replicas stay outside`() {
         val closed = SimulatedGroup(seed = 5, names = listOf("a"), spare = listOf("b"))
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
@@ -73,7 +73,8 @@
 }
 
 internal fun ControlStep.entriesConfirmed() {
-    val (_, links, _, questions) = state.confirmation
+    val links = state.confirmation.current
+    val questions = state.confirmation.questions
     state = state.copy(confirmation = state.confirmation.copy(ticket = null, current = persistentSetOf()))
     links.forEach(::sendConfirmed)
     val entries =
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Proof.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Proof.kt
@@ -4,16 +4,6 @@
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EntryToControl
 
-/**
- * The proof that the configuration in force is the newest. Its age counts from the moment of asking, because a newer
- * version may have been accepted at any time after that. [entries] of the fleet were linked to control then.
- */
-internal data class ProofState(
-    val askedAt: Long? = null,
-    val provedAt: Long? = null,
-    val entries: Int = 0,
-)
-
 internal fun Reduction.proofTick() {
     if (settings.behaviour.proofLifetime == null || !state.controlLink.open) return
     val askedAt = state.proof.askedAt
