--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Leadership.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Leadership.kt
@@ -28,13 +28,10 @@
     updateLeading { it.copy(committedAtHeartbeat = state.committedIndex, dutiesAt = now) }
 }
 
-/**
- * Starts again from the last confirmed record when messages or their answers were lost. Answers to heartbeats say nothing
- * about records on their way, so only records that were confirmed since count.
- */
+/** Starts again from the last confirmed record when messages or their answers were lost. */
 private fun ReplicaStep.retryWhenSilent(identity: String) =
     updateProgress(identity) {
-        val silent = now - maxOf(it.matchedAt, it.sentAt) >= settings.heartbeatInterval * SILENT_HEARTBEATS
+        val silent = now - maxOf(it.answeredAt, it.sentAt) >= settings.heartbeatInterval * SILENT_HEARTBEATS
         if (it.inFlight.isEmpty() || !silent) return@updateProgress it
         it.copy(next = it.match + 1, probing = true, inFlight = it.inFlight.clear())
     }
@@ -105,7 +102,7 @@
     val identity = envelope.sender.identity
     if (!noteAnswer(envelope, answer.round) || answer.matchIndex > state.lastIndex) return
     if (answer.accepted) {
-        updateProgress(identity) { it.accepted(answer.matchIndex, now) }
+        updateProgress(identity) { it.accepted(answer.matchIndex) }
     } else {
         updateProgress(identity) { it.rejected(answer.matchIndex) }
     }
@@ -114,14 +111,10 @@
     replicate(identity, heartbeat = false)
 }
 
-private fun Progress.accepted(
-    index: Long,
-    now: Long,
-): Progress {
+private fun Progress.accepted(index: Long): Progress {
     val newMatch = maxOf(match, index)
     return copy(
         match = newMatch,
-        matchedAt = if (newMatch > match) now else matchedAt,
         next = maxOf(next, newMatch + 1),
         probing = false,
         inFlight = inFlight.filter { it > newMatch }.toPersistentList(),
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Phase.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Phase.kt
@@ -72,7 +72,6 @@
     val probing: Boolean = true,
     val inFlight: PersistentList<Long> = persistentListOf(),
     val sentAt: Long = 0,
-    val matchedAt: Long = 0,
     val confirmedRound: Long = 0,
     val transfer: SnapshotTransfer? = null,
     val heard: Boolean = false,
