--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -20,8 +20,7 @@
     private val matches: Map<String, Double>,
 ) {
     private val candidates = state.candidates[work.target]
-    private val isLong =
-        work.promptTokens - work.sharedTokens >= LONG_PROMPT_TOKENS || work.sharedTokens >= LONG_PROMPT_TOKENS
+    private val isLong = work.promptTokens >= LONG_PROMPT_TOKENS
     private val home = home()
 
     fun delay(name: String): Double {
@@ -42,7 +41,7 @@
     private fun home(): String? {
         val part = work.prefixBlocks.getOrNull(maxOf(0, work.prefixBlocks.size - 2)) ?: return null
         val all = candidates?.all.orEmpty()
-        val eligible = if (isLong) all.filterNot { candidates?.isForShortPrompts(it) ?: false }.ifEmpty { all } else all
+        val eligible = all.filter { isLong != (candidates?.isForShortPrompts(it) ?: false) }.ifEmpty { all }
         val worthTheWay = work.sharedTokens / TOKENS_READ_PER_MILLISECOND > WAY_MILLISECONDS.last()
         val reach =
             if (worthTheWay) {
@@ -73,8 +72,11 @@
         /** The reading speed that the engines' sheet states, rounded down. */
         const val TOKENS_READ_PER_MILLISECOND = 60.0
 
-        /** An engine reads 2,048 tokens in one step; a longer prompt holds up its other work for more than one. */
-        const val LONG_PROMPT_TOKENS = 2_048
+        /**
+         * An engine reads 2,048 tokens in a step, and each step takes longer the more came before: by the engines' sheet over
+         * 60 ms behind this many. Two such steps are the shortest pause between events that a route allows.
+         */
+        const val LONG_PROMPT_TOKENS = 12_000
 
         /** There and back, by distance: within a zone, within a region, and to another region. */
         val WAY_MILLISECONDS = listOf(0.0, 2.0, 40.0)
