Take no stalled stream for the speed of an engine

Ruled out: short deadlines (15 s), full queues (nothing waited). Change: an interval of ten times the target between tokens is left out. Before: StalledStreamTest refused with TooLate. After: queued.

--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/SpeedEstimates.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/SpeedEstimates.kt
@@ -20,6 +20,7 @@
         val produced = tokens - before.tokens
         if (before.tokens == 0 || produced < 1 || elapsed < SHORTEST_OBSERVATION_MILLISECONDS) return this
         val interval = elapsed.toDouble() / produced
+        if (interval > LONGEST_INTERVAL_MILLISECONDS) return this
         val known = intervals[before.work.target] ?: interval
         return SpeedEstimates(intervals.put(before.work.target, minOf(interval, known * FORGETTING)))
     }
@@ -28,5 +29,8 @@
         /** Shorter observations mistake tokens that the network delivered together for a fast engine. */
         const val SHORTEST_OBSERVATION_MILLISECONDS = 200L
         const val FORGETTING = 1.001
+
+        /** Ten times the target between tokens is a stall, not a speed; taken for one, it would refuse all that come after. */
+        const val LONGEST_INTERVAL_MILLISECONDS = 490.0
     }
 }
