--- a/operator/src/main/kotlin/hawthorncrank/operator/internal/AnswerLines.kt
+++ b/operator/src/main/kotlin/hawthorncrank/operator/internal/AnswerLines.kt
@@ -7,6 +7,8 @@
     when (answer) {
         is OperatorAnswer.Accepted -> PrintedAnswer(acceptedLines(answer), succeeded = true)
         is OperatorAnswer.Report -> PrintedAnswer(answer.lines, succeeded = true)
+        is OperatorAnswer.CurrentDocument ->
+            PrintedAnswer(listOfNotNull("# version ${answer.version}", answer.document?.decodeToString()), true)
         is OperatorAnswer.CurrentConfiguration ->
             PrintedAnswer(listOf("# version ${answer.version}") + configurationLines(answer.configuration), true)
         is OperatorAnswer.ReplicaIdentity -> PrintedAnswer(listOf("${answer.member}"), succeeded = true)
