--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -152,7 +152,7 @@
         )
 
     private companion object {
-        // An odd factor with well-spread bits, as in linear congruential generators (Steele and Vigna, 2021).
+        // Any odd factor keeps different chains apart; in this one the bits are well spread.
         const val DIGEST_FACTOR = -0x2e5b_e9b4_6a3d_4d2bL
     }
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -74,11 +74,11 @@
 
         /**
          * An engine reads 2,048 tokens in a step, and each step takes longer the more came before: by the engines' sheet over
-         * 60 ms behind this many. Two such steps are the shortest pause between events that a route allows.
+         * 50 ms behind this many. Two such steps come close to the shortest pause between events that a route allows.
          */
         const val LONG_PROMPT_TOKENS = 12_000
 
-        /** There and back, by distance: within a zone, within a region, and to another region. */
+        /** There and back by the deployments' sheet: within a zone, within a region, and to another region. */
         val WAY_MILLISECONDS = listOf(0.0, 2.0, 40.0)
 
         /** What one more request adds to a step, over the hundred steps of a usual answer. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -313,7 +313,7 @@
     }
 
     private companion object {
-        // Short prompts are a quarter to a third of the tokens that the users' engines generate, and little of what they read.
+        // The least that keeps one engine for short prompts in a zone with two or three.
         const val SHORT_PROMPT_SHARE = 0.34
     }
 }
