--- a/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationOperations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationOperations.kt
@@ -18,16 +18,14 @@
     operation: ControlOperation.ChangeConfiguration,
     context: CommandContext,
 ): Answered {
-    val change = context.command.identifier
-    val staged = stagedChanges[change]?.parts.orEmpty()
-    val unstaged = copy(stagedChanges = stagedChanges.remove(change))
+    val (unstaged, staged) = withoutStaged(context.command.identifier)
     val base = operation.delta.baseVersion
     if (base != version) return unstaged.conflict(base)
     if (staged.size < operation.stagedParts) {
         return refused("parts of the change are missing", "propose it again under a new command identifier")
             .copy(transient = true)
     }
-    return unstaged.applied(staged.toSortedMap().values + operation.delta, operation.reason, context)
+    return unstaged.applied(staged + operation.delta, operation.reason, context)
 }
 
 /**
@@ -38,17 +36,26 @@
     operation: ControlOperation.ReplaceConfiguration,
     context: CommandContext,
 ): Answered {
-    val change = context.command.identifier
-    val staged = stagedChanges[change]?.parts.orEmpty()
-    val unstaged = copy(stagedChanges = stagedChanges.remove(change))
+    val (unstaged, staged) = withoutStaged(context.command.identifier)
     val base = operation.delta.baseVersion
     if (operation.delta.version <= version) return unstaged.accepted()
     if (base != version || staged.size < operation.stagedParts) return unstaged.conflict(base).copy(transient = true)
-    val answered = unstaged.applied(staged.toSortedMap().values + operation.delta, "", context)
+    val answered = unstaged.applied(staged + operation.delta, "", context)
     if (answered.answer !is OperatorAnswer.Accepted) return answered
     return answered.copy(state = answered.state.copy(document = operation.document))
 }
 
+/** The state without the staged parts of a change, and those parts in their order. */
+private fun ControlState.withoutStaged(change: String): Pair<ControlState, List<ConfigurationDelta>> {
+    val parts =
+        stagedChanges[change]
+            ?.parts
+            .orEmpty()
+            .toSortedMap()
+            .values
+    return copy(stagedChanges = stagedChanges.remove(change)) to parts.toList()
+}
+
 private fun ControlState.applied(
     deltas: List<ConfigurationDelta>,
     reason: String,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
@@ -14,6 +14,7 @@
 import hawthorncrank.link.LinkSettings
 import hawthorncrank.link.linkClient
 import hawthorncrank.link.linkServer
+import hawthorncrank.link.withHeartbeat
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.LinkRole
 import hawthorncrank.protocol.OperatorAnswer
@@ -35,7 +36,10 @@
     private val log: EventLog,
     private val send: (ControlEvent) -> Unit,
 ) : AutoCloseable {
-    private val own = linkSettings(settings)
+    // Links may be silent for longer than a leader: closing one loses what is under way on it.
+    private val own =
+        LinkSettings(LinkRole.REPLICA, settings.name, settings.fleetKey)
+            .withHeartbeat(settings.heartbeat?.let { it.value * 2 })
     private val dialed = ConcurrentHashMap.newKeySet<String>()
     private val numbers = AtomicLong()
     private val byLink = ConcurrentHashMap<Link, Long>()
@@ -162,19 +166,6 @@
     }
 
     private companion object {
-        fun linkSettings(settings: ControlSettings): LinkSettings {
-            val plain = LinkSettings(LinkRole.REPLICA, settings.name, settings.fleetKey)
-            // Links may be silent for longer than a leader: closing one loses what is under way on it.
-            val heartbeat = settings.heartbeat?.let { it.value * 2 } ?: return plain
-            return plain.copy(
-                heartbeatMilliseconds = heartbeat,
-                silenceMilliseconds = heartbeat * HEARTBEATS_OF_SILENCE,
-                longestReconnectMilliseconds = heartbeat,
-            )
-        }
-
-        // As in the defaults: a link is closed after four missing heartbeats.
-        const val HEARTBEATS_OF_SILENCE = 4
         val ACCEPTED_ROLES = setOf(LinkRole.ENTRY, LinkRole.OPERATOR, LinkRole.REPLICA)
         val WRONG_CREDENTIAL =
             OperatorAnswer.Refused(
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryLinks.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryLinks.kt
@@ -16,6 +16,7 @@
 import hawthorncrank.link.LinkSettings
 import hawthorncrank.link.linkClient
 import hawthorncrank.link.linkServer
+import hawthorncrank.link.withHeartbeat
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.LinkRole
@@ -79,20 +80,8 @@
         server?.close()
     }
 
-    private fun own(role: LinkRole): LinkSettings {
-        val plain = LinkSettings(role, settings.name, settings.fleetKey)
-        val heartbeat = settings.heartbeat?.value ?: return plain
-        return plain.copy(
-            heartbeatMilliseconds = heartbeat,
-            silenceMilliseconds = heartbeat * HEARTBEATS_OF_SILENCE,
-            longestReconnectMilliseconds = heartbeat,
-        )
-    }
-
-    private companion object {
-        // As in the defaults: a link is closed after four missing heartbeats.
-        const val HEARTBEATS_OF_SILENCE = 4
-    }
+    private fun own(role: LinkRole): LinkSettings =
+        LinkSettings(role, settings.name, settings.fleetKey).withHeartbeat(settings.heartbeat?.value)
 
     private inner class ControlListener : LinkListener {
         override fun opened(link: Link) {
