Ask the next leader again when a forwarded read hangs on the former one

The leader froze at 2 s; another one led from 3.9 s on, but the entries got no proof that their configuration is the newest until 8.1 s and refused everything from 6.45 s on. A follower's read that it had passed to the frozen leader was given up only after 5 s (forwardTimeout), and all questions of its entries wait for that one read; a retry then waits 0.5 s more.

Ruled out: the election itself (won 1.9 s after the freeze), the links of the entries (none closed), the entries' clocks.

Change: a forwarded read is given up as soon as another leader is known, and after an election timeout without an answer. Both are safe, because nothing depends on the outcome of a read. A new leader lets the replica ask at once. Commands keep their time, because their outcome may yet arrive.

Before: both new tests of ReplaceConfigurationTest fail.

Conclusion: a leader that freezes costs the entries their election, not 5 s more.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
@@ -7,7 +7,7 @@
     val electionTimeoutMaximum: Long = 3_000,
     val heartbeatInterval: Long = 500,
     val joinInterval: Long = 1_000,
-    /** A forwarded command or read without an answer is given up after this many milliseconds. */
+    /** A forwarded command without an answer is given up after this many milliseconds. */
     val forwardTimeout: Long = 5_000,
     /** The fewest records between snapshots; a state larger than that many records waits for more. */
     val snapshotInterval: Long = 1_000,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Elections.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Elections.kt
@@ -125,6 +125,7 @@
         giveUpRequests(former)
         resetElectionDeadline()
     }
+    if (formerLeader != leader) giveUpForwardedReads()
     if (former is Leading || formerLeader != leader) emit(ReplicaEffect.BecameFollower(state.term, leader))
 }
 
@@ -133,6 +134,7 @@
     val next = state.lastIndex + 1
     val progress = otherMembers().associate { it.identity to Progress(it, next, answeredAt = now) }
     state = state.copy(phase = Leading(next, now, now, progress = progress.toPersistentMap()), incoming = null)
+    giveUpForwardedReads()
     appendOwn(RecordKind.NO_OPERATION, ByteArray(0))
     startRound()
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -102,6 +102,7 @@
 
 private fun ReplicaStep.tick() {
     expireRequests(now - settings.forwardTimeout)
+    expireReads()
     if (leading != null) return leadOnTick()
     askToJoinWhenDue()
     campaignWhenDue()
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Tickets.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Tickets.kt
@@ -217,16 +217,34 @@
 }
 
 internal fun ReplicaStep.expireRequests(deadline: Long) {
-    val lateForwarded = state.forwarded.filterValues { it.sentAt <= deadline }
+    expireForwarded { it.sentAt <= deadline }
     val (lateWaiting, waiting) = state.waiting.partition { it.since <= deadline }
-    if (lateForwarded.isEmpty() && lateWaiting.isEmpty()) return
-    var forwarded = state.forwarded
-    lateForwarded.keys.forEach { forwarded = forwarded.remove(it) }
-    state = state.copy(forwarded = forwarded, waiting = waiting.toPersistentList())
-    lateForwarded.values.forEach { expire(it.ticket, it.read) }
+    if (lateWaiting.isEmpty()) return
+    state = state.copy(waiting = waiting.toPersistentList())
     lateWaiting.forEach { expire(it.ticket, it.read) }
 }
 
+/**
+ * A read that the leader does not answer within an election timeout was lost, or its leader is. Nothing depends on its
+ * outcome, so that whoever waits for it can ask again at once; a command's outcome may yet arrive.
+ */
+internal fun ReplicaStep.expireReads() {
+    val deadline = now - settings.electionTimeoutMinimum
+    expireForwarded { it.read && it.sentAt <= deadline }
+}
+
+/** What was asked of the former leader is asked again of the next one. */
+internal fun ReplicaStep.giveUpForwardedReads() = expireForwarded { it.read }
+
+private fun ReplicaStep.expireForwarded(late: (Forwarded) -> Boolean) {
+    val expired = state.forwarded.filterValues(late)
+    if (expired.isEmpty()) return
+    var remaining = state.forwarded
+    expired.keys.forEach { remaining = remaining.remove(it) }
+    state = state.copy(forwarded = remaining)
+    expired.values.forEach { expire(it.ticket, it.read) }
+}
+
 private fun ReplicaStep.expire(
     ticket: Long,
     read: Boolean,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
@@ -72,6 +72,12 @@
     state = state.copy(confirmation = Confirmation(next = waiting, retryAt = now + CONFIRMATION_RETRY_MILLISECONDS))
 }
 
+/** A new leader can confirm at once what the former one did not. */
+internal fun ControlStep.hastenConfirmation() {
+    state = state.copy(confirmation = state.confirmation.copy(retryAt = now))
+    startConfirmation()
+}
+
 internal fun ControlStep.entriesConfirmed() {
     val links = state.confirmation.current
     val questions = state.confirmation.questions
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ReplicaBridge.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ReplicaBridge.kt
@@ -99,10 +99,13 @@
     record(ControlEventCode.BECAME_LEADER, "term" to effect.term)
     state = state.copy(leaderSince = now, orderAttempts = state.orderAttempts.clear())
     hastenProposals()
+    hastenConfirmation()
 }
 
 private fun ControlStep.becameFollower(effect: ReplicaEffect.BecameFollower) {
     record(ControlEventCode.BECAME_FOLLOWER, "term" to effect.term, "leader" to effect.leader?.name)
     state = state.copy(leaderSince = null)
-    if (effect.leader != null) hastenProposals()
+    if (effect.leader == null) return
+    hastenProposals()
+    hastenConfirmation()
 }
--- a/control/src/test/kotlin/hawthorncrank/control/internal/ReplaceConfigurationTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ReplaceConfigurationTest.kt
@@ -125,6 +125,38 @@
         assertEquals(1, group.sent(follower, 1).filterIsInstance<ControlToEntry.ConfigurationConfirmed>().size)
     }
 
+    /**
+     * Guards against a question that waits for a leader which has frozen while another one leads: all entries of the
+     * replica then refuse everything. A proof lasts 4.5 s and entries ask every 0.5 s.
+     */
+    @Test
+    fun `a question that was passed to a leader that froze is answered by the next leader within a proof's lifetime`() {
+        accepted(3, first)
+        val follower = group.follower()
+        group.entry(follower, 1, EntryToControl.EntryHello("ignored", "zone", 3))
+        group.run(1_000)
+        group.cut(group.leader())
+        group.entry(follower, 1, EntryToControl.ConfirmConfiguration(77))
+        group.run(PROOF_LIFETIME_MILLISECONDS - QUESTION_INTERVAL_MILLISECONDS)
+        assertEquals(1, group.sent(follower, 1).filterIsInstance<ControlToEntry.ConfigurationConfirmed>().size)
+    }
+
+    /** Guards against a question that hangs on one lost message while the leader goes on leading. */
+    @Test
+    fun `a question that was lost on its way to the leader is asked again within a proof's lifetime`() {
+        accepted(3, first)
+        val follower = group.follower()
+        val leader = group.leader()
+        group.entry(follower, 1, EntryToControl.EntryHello("ignored", "zone", 3))
+        group.run(1_000)
+        group.cut(leader)
+        group.entry(follower, 1, EntryToControl.ConfirmConfiguration(77))
+        group.heal()
+        group.run(PROOF_LIFETIME_MILLISECONDS - QUESTION_INTERVAL_MILLISECONDS)
+        assertEquals(leader, group.leader())
+        assertEquals(1, group.sent(follower, 1).filterIsInstance<ControlToEntry.ConfigurationConfirmed>().size)
+    }
+
     private fun accepted(
         version: Long,
         configuration: Configuration,
@@ -160,5 +192,9 @@
 
     private companion object {
         const val LINK = 901L
+
+        // Nine tenths of the time within which a key that was taken away must be refused.
+        const val PROOF_LIFETIME_MILLISECONDS = 4_500L
+        const val QUESTION_INTERVAL_MILLISECONDS = 500L
     }
 }
