Wait for the sockets of all links with one selector

Messages between replicas took 300 to 500 ms. Each dialled link and the listening port had a selector of its own, and a selector holds a thread of the shared pool while it waits, for half a second at a time. A replica of six has six selectors and four threads.

Ruled out: processor time (0.03 to 0.11 cores), the entries (they linked 11 s after the first loss), lost records.

Change: one selector for the process, on a thread of its own.

Before: the new test of LinkTest fails, eight of eight links hold a thread of the pool. After: it passes.

--- a/link/src/main/kotlin/hawthorncrank/link/internal/DialingClient.kt
+++ b/link/src/main/kotlin/hawthorncrank/link/internal/DialingClient.kt
@@ -9,7 +9,6 @@
 import hawthorncrank.link.LinkFailure
 import hawthorncrank.link.LinkListener
 import hawthorncrank.link.LinkSettings
-import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
@@ -30,7 +29,6 @@
     private val eventLog: EventLog,
 ) : LinkClient {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val selector = SelectorManager(Dispatchers.IO)
     private val opening = LinkOpening(settings, listener, eventLog)
     private var position = 0
 
@@ -66,7 +64,7 @@
             val socket =
                 withTimeout(
                     CONNECT_TIMEOUT_MILLISECONDS,
-                ) { aSocket(selector).tcp().connect(address) { noDelay = true } }
+                ) { aSocket(linkSelector).tcp().connect(address) { noDelay = true } }
             socket.use { opening.asClient(it).run() }
             return true
         } catch (failure: TimeoutCancellationException) {
@@ -91,10 +89,7 @@
         return Ok(Unit)
     }
 
-    override fun close() {
-        scope.cancel()
-        selector.close()
-    }
+    override fun close() = scope.cancel()
 
     private companion object {
         const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
--- a/link/src/main/kotlin/hawthorncrank/link/internal/ListeningServer.kt
+++ b/link/src/main/kotlin/hawthorncrank/link/internal/ListeningServer.kt
@@ -6,7 +6,6 @@
 import hawthorncrank.link.LinkServer
 import hawthorncrank.link.LinkSettings
 import hawthorncrank.protocol.LinkRole
-import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
@@ -23,7 +22,6 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 internal class ListeningServer private constructor(
-    private val selector: SelectorManager,
     private val socket: ServerSocket,
     private val opening: LinkOpening,
     private val eventLog: EventLog,
@@ -86,7 +84,6 @@
     override fun close() {
         scope.cancel()
         socket.close()
-        selector.close()
     }
 
     companion object {
@@ -100,16 +97,9 @@
             eventLog: EventLog,
             acceptedRoles: Set<LinkRole>,
         ): ListeningServer {
-            val selector = SelectorManager(Dispatchers.IO)
-            val socket =
-                try {
-                    aSocket(selector).tcp().bind(address) { reuseAddress = true }
-                } catch (failure: Exception) {
-                    selector.close()
-                    throw failure
-                }
+            val socket = aSocket(linkSelector).tcp().bind(address) { reuseAddress = true }
             val opening = LinkOpening(settings, listener, eventLog)
-            return ListeningServer(selector, socket, opening, eventLog, acceptedRoles).also { it.start() }
+            return ListeningServer(socket, opening, eventLog, acceptedRoles).also { it.start() }
         }
     }
 }
--- a/link/src/test/kotlin/hawthorncrank/link/LinkTest.kt
+++ b/link/src/test/kotlin/hawthorncrank/link/LinkTest.kt
@@ -40,6 +40,23 @@
             }
         }
 
+    /**
+     * Guards against links that wait for each other: with a selector for each client, six of them held all threads of a
+     * process that has four, and every message took half a second.
+     */
+    @Test
+    fun `no link holds a thread for traffic while it waits for messages`() =
+        withServer { server ->
+            val clients = List(LINKS) { clientOf(server) }
+            repeat(LINKS) { atServer.awaitOpened() }
+            val waiting =
+                Thread.getAllStackTraces().filter { (thread, frames) ->
+                    thread.name.startsWith("DefaultDispatcher") && frames.any { "Selector" in it.className }
+                }
+            clients.forEach { it.close() }
+            assertEquals(emptySet(), waiting.keys)
+        }
+
     @Test
     fun `an end with another fleet key is refused and hears nothing`() =
         withServer { server ->
@@ -135,6 +152,7 @@
     }
 
     private companion object {
+        const val LINKS = 8
         val serverSettings = LinkSettings(LinkRole.REPLICA, "control-1", "fleet")
         val clientSettings = LinkSettings(LinkRole.ENTRY, "entry-1", "fleet")
     }
