Let entries go when their replica has no place in the group

Entries that are linked to it waited for ever, because a replica without a group counted as one that has a leader.

Before: the new test of ControlGroupTest fails. After: it passes.

Conclusion: the replica still holds no configuration; a place beyond the voters is open (docs/platform.md).

--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -132,9 +132,12 @@
         }
 }
 
-/** Entries that are linked to a replica without a leader could neither claim nor learn of changes; others may have one. */
+/**
+ * Entries that are linked to a replica without a leader could neither claim nor learn of changes; others may have one. A
+ * replica beyond the voters has none either.
+ */
 internal fun ControlStep.releaseEntries() {
-    val hasLeader = state.replica.leader != null || state.replica.group == null
+    val hasLeader = state.replica.leader != null
     val since = state.leaderlessSince ?: now
     state = state.copy(leaderlessSince = if (hasLeader) null else since)
     if (hasLeader || now - since < RELEASE_MILLISECONDS) return
--- a/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
@@ -81,6 +81,15 @@
         )
     }
 
+    /** Guards against entries that wait for ever at a replica which never got a place in the group. */
+    @Test
+    fun `a replica outside the group releases its entries`() {
+        val group = VirtualGroup(2, formed = listOf("control-1"))
+        group.entry("control-2", 1, EntryToControl.EntryHello("entry-1", "zone", 0))
+        group.run(10_000)
+        assertContains(group.closed, 1)
+    }
+
     @Test
     fun `a claim is granted once across replicas and its outcome answers resends`() {
         propose(first)
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -19,6 +19,7 @@
 internal class VirtualGroup(
     size: Int,
     private val requiredVoters: Int = 1,
+    formed: List<String>? = null,
 ) {
     private val names = List(size) { "control-${it + 1}" }
     private val peers = names.map { ReplicaPeer(it, address(it)) }
@@ -52,7 +53,7 @@
             node.state = transition.state
             transition.effects.forEach { carryOut(node, it) }
         }
-        operate(names.first(), OperatorCommand.FormGroup(names.map { ReplicaMember(it, "$it-id", address(it)) }))
+        operate(names.first(), OperatorCommand.FormGroup((formed ?: names).map { ReplicaMember(it, "$it-id", address(it)) }))
         run(10_000)
     }
 
