--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
@@ -5,8 +5,9 @@
 import kotlinx.collections.immutable.persistentMapOf
 
 /**
- * The configuration in force and the versions that wait for it. [noticed] holds the highest version that each neighbour
- * said to hold; [effective] is the configuration with the upstreams that the platform lists; [attested] the versions in the answers of neighbours that hold a configuration. Version 0 is none.
+ * The configuration in force and the versions that wait for it. [effective] is the configuration with the upstreams that
+ * the platform lists; [noticed] holds the highest version that each neighbour said to hold, and [attested] the versions in
+ * the answers of neighbours that hold a configuration. Version 0 is none.
  */
 internal data class ConfigurationState(
     val version: Long = 0,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -43,12 +43,11 @@
     ): CallerRequest {
         val className = routeClassName(route.serviceLevel, received.organisation.tier ?: route.tier)
         val allowed = listOfNotNull(caller.timeLeftMilliseconds, view.trafficClass(className)?.finishBy?.value)
-        val idempotent = route.repetition != Repetition.AT_MOST_ONCE
         return CallerRequest(
             number = number,
             organisation = received.organisation.name,
             className = className,
-            target = target(view, destination(route, caller.identifier), caller, idempotent),
+            target = target(view, destination(route, caller.identifier), caller, route.idempotent),
             contentDigest =
                 contentDigest(received.organisation.name, "${received.method} ${received.uri}", received.body),
             bodyBytes = received.body.size,
@@ -56,7 +55,11 @@
             finishBy = allowed.minOrNull()?.let { now() + it },
             identifier = caller.identifier,
             repetition =
-                RepetitionRule(idempotent, route.repetition == Repetition.RESUMABLE, route.engineAttempts),
+                RepetitionRule(
+                    route.idempotent,
+                    route.repetition == Repetition.RESUMABLE,
+                    route.engineAttempts,
+                ),
         )
     }
 
@@ -115,7 +118,7 @@
             method = received.method,
             uri = received.uri,
             headers = passed + ("Host" to host),
-            idempotent = route.repetition != Repetition.AT_MOST_ONCE,
+            idempotent = route.idempotent,
             streamed = route.streamed,
             form = form(caller, organisation, route),
             body = { _, _ -> received.body },
@@ -144,13 +147,12 @@
             streamHeaders = ::forwardedHeaders,
             errorEvent = null,
             release =
-                if (route.repetition == Repetition.AT_MOST_ONCE) {
-                    AnswerRelease.AT_ONCE
-                } else {
-                    AnswerRelease.FAILURES_WHEN_DECIDED
-                },
+                if (route.idempotent) AnswerRelease.FAILURES_WHEN_DECIDED else AnswerRelease.AT_ONCE,
         )
 
+    private val RequestRoute.idempotent: Boolean
+        get() = repetition != Repetition.AT_MOST_ONCE
+
     private companion object {
         // Any odd factor keeps different chains apart; in this one the bits are well spread.
         const val DIGEST_FACTOR = -0x2e5b_e9b4_6a3d_4d2bL
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -7,9 +7,9 @@
  * How long each engine would take to the first token of a prompt, in milliseconds, as far as this entry can tell: what the
  * engine still has to read for this entry, what it must read of this prompt, and the way there.
  *
- * Entries see only their own work, so that equal choices must not need messages. Each shared part has a home, which all
- * entries compute alike: it is taken to hold the part. This answers many callers with the same long prompt: the part is
- * read once, and elsewhere only when its home has more to read than the part itself.
+ * An entry sees only its own work. So that all entries send a shared part to the same engine without telling each other,
+ * each part has a home that every entry computes alike and that is taken to hold the part. This answers many callers with
+ * the same long prompt: the part is read once, and elsewhere only when its home has more to read than the part itself.
  *
  * An engine that reads a long prompt delays the tokens of everything that it generates meanwhile. Some engines of each
  * zone are therefore kept for short prompts, whose callers wait for the next word.
@@ -43,21 +43,12 @@
         val all = candidates?.all.orEmpty()
         val eligible = all.filter { isLong != (candidates?.isForShortPrompts(it) ?: false) }.ifEmpty { all }
         val worthTheWay = work.sharedTokens / TOKENS_READ_PER_MILLISECOND > WAY_MILLISECONDS.last()
-        val reach =
-            if (worthTheWay) {
-                eligible
-            } else {
-                eligible
-                    .filter {
-                        distance(
-                            it,
-                        ) == Distance.ZONE
-                    }.ifEmpty { eligible }
-            }
+        val near = eligible.filter(::isInZone)
+        val reach = if (worthTheWay || near.isEmpty()) eligible else near
         return reach.maxByOrNull { homeRank(part, it) }
     }
 
-    private fun distance(name: String) = state.upstreams.getValue(name).distance
+    private fun isInZone(name: String) = state.upstreams.getValue(name).distance == Distance.ZONE
 
     private fun misplaced(name: String): Double {
         val forShort = candidates?.isForShortPrompts(name) ?: return 0.0
