Refuse instead of denying while the configuration is unproved, and let entries go sooner

Rejections that the traffic threads decide from their view (no route, no key) did not ask whether the configuration is proved, unlike the decisions on the control thread. And a replica without a leader kept its entries for 4 s more, so that their proof ran out.

Ruled out: the proof's own time (decisions of the control thread refused as unproved from its end on).

Change: on routes, such a rejection becomes 503 unless the entry is ready or stopping. A replica lets its entries go after the longest and the shortest election timeout, 2.1 s on the platform, so that they find another one while their proof holds.

Before: UnprovedRejectionTest fails with 404. After: it passes.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -101,6 +101,7 @@
                         startedAt = now,
                         wallOffset = clock.wallTime() - now,
                         requiredVoters = settings.voters ?: 1,
+                        releaseAfter = releaseAfter(replicaSettings),
                     )
                 startedProcess(replica, state, transition.effects, now)
             }
@@ -160,6 +161,10 @@
     }
 }
 
+/** By then an election that succeeds in its second round is over, and an entry's proof is still young elsewhere. */
+internal fun releaseAfter(settings: ReplicaSettings): Long =
+    minOf(RELEASE_MILLISECONDS, settings.electionTimeoutMaximum + settings.electionTimeoutMinimum)
+
 private fun replicaSettings(
     settings: ControlSettings,
     peers: List<ReplicaPeer>,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -140,9 +140,9 @@
     val hasLeader = state.replica.leader != null
     val since = state.leaderlessSince ?: now
     state = state.copy(leaderlessSince = if (hasLeader) null else since)
-    if (hasLeader || now - since < RELEASE_MILLISECONDS) return
+    if (hasLeader || now - since < state.releaseAfter) return
     state.entryLinks
-        .filterValues { now - it.openedAt >= RELEASE_MILLISECONDS }
+        .filterValues { now - it.openedAt >= state.releaseAfter }
         .forEach { (link, _) -> emit(ControlEffect.CloseLink(link)) }
 }
 
@@ -169,8 +169,8 @@
 // Entries repeat these, so a short life here only bounds what waits.
 private const val REPEATED_COMMAND_MILLISECONDS = 5_000L
 
-// As long as a silent link lasts, and longer than an election takes when its first round succeeds.
-private const val RELEASE_MILLISECONDS = 4_000L
+/** As long as a silent link lasts by default. */
+internal const val RELEASE_MILLISECONDS = 4_000L
 
 // Longer than the 4 s after which a silent link closes plus a reconnection to another replica.
 private const val ENTRY_LOST_MILLISECONDS = 10_000L
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -39,6 +39,8 @@
     val stopping: Boolean = false,
     /** Changes are refused until the group has so many voters, so that an early one does not rest on one disk. */
     val requiredVoters: Int = 1,
+    /** Entries are let go when this replica has known no leader for so long, in milliseconds. */
+    val releaseAfter: Long = RELEASE_MILLISECONDS,
 ) {
     /** This process's estimate of the replicated clock, which never runs ahead of real time. */
     fun clock(now: Long): Long = control.clock + (now - clockAppliedAt)
--- a/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.consensus.ReplicaSettings
 import hawthorncrank.control.ControlHistory
 import hawthorncrank.control.OrderStatus
 import hawthorncrank.control.PlanStatus
@@ -81,6 +82,17 @@
         )
     }
 
+    /**
+     * Guards against entries that stay at a cut-off replica until they may serve nothing: a proof lasts 4.5 s, is renewed
+     * every 0.5 s, and the replica misses its leader after one election timeout at most.
+     */
+    @Test
+    fun `with the platform's election timeout entries are let go while their proof is young`() {
+        val settings = ReplicaSettings(emptyList(), electionTimeoutMinimum = 700, electionTimeoutMaximum = 1_400)
+        val letGo = settings.electionTimeoutMaximum + releaseAfter(settings)
+        assertTrue(letGo <= 4_500 - 500, "let go after $letGo ms")
+    }
+
     /** Guards against entries that wait for ever at a replica which never got a place in the group. */
     @Test
     fun `a replica outside the group releases its entries`() {
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -53,7 +53,10 @@
             node.state = transition.state
             transition.effects.forEach { carryOut(node, it) }
         }
-        operate(names.first(), OperatorCommand.FormGroup((formed ?: names).map { ReplicaMember(it, "$it-id", address(it)) }))
+        operate(
+            names.first(),
+            OperatorCommand.FormGroup((formed ?: names).map { ReplicaMember(it, "$it-id", address(it)) }),
+        )
         run(10_000)
     }
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -32,6 +32,7 @@
     private val callers: CallerInterface,
     private val traffic: Traffic,
     private val view: () -> ConfigurationView?,
+    private val rejectionsAreSure: () -> Boolean,
     private val bodyTime: Duration,
     firstNumber: Long,
     private val log: EventLog,
@@ -61,7 +62,8 @@
         return callers.organisationOf(request, current).flatMapMany { result ->
             result.fold(
                 success = { organisation -> receive(request, response, current, organisation, checkNotNull(loop)) },
-                failure = { reject(request, response, it) },
+                // An outdated configuration may lack a route or a key that the newest one has.
+                failure = { reject(request, response, if (rejectionsAreSure()) it else Rejection.Unproved) },
             )
         }
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -32,7 +32,7 @@
     verify: (String, String) -> Boolean,
     private val limits: ProcessLimits = ProcessLimits(),
     client: UpstreamClient = upstreamClient(),
-    routed: RoutedTraffic? = null,
+    private val routed: RoutedTraffic? = null,
 ) : Entry {
     private val control: ControlThread<State> =
         ControlThread(reducer, initial, clock, log) { effect -> effects.carryOut(effect) }
@@ -66,6 +66,7 @@
             callerInterface,
             traffic,
             { view },
+            { routed == null || readiness.ready || stopping },
             limits.bodyTime,
             firstNumber,
             log,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
@@ -80,6 +80,13 @@
         "ask the operator to attach one",
     )
 
+    data object Unproved : Rejection(
+        503,
+        "the configuration is not proved to be the newest",
+        "send the request again; the load balancer chooses another entry",
+        retryAfterMilliseconds = 1_000,
+    )
+
     data object NotReady : Rejection(
         503,
         "this entry has no configuration yet",
--- /dev/null
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UnprovedRejectionTest.kt
@@ -0,0 +1,79 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.unwrap
+import hawthorncrank.common.KeyHash
+import hawthorncrank.common.Reducer
+import hawthorncrank.common.Transition
+import hawthorncrank.common.systemClock
+import hawthorncrank.entry.CallerHeaders
+import hawthorncrank.entry.ExchangeProtocol
+import hawthorncrank.entry.RoutedTraffic
+import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.EntryEvent
+import kotlinx.collections.immutable.toPersistentList
+import reactor.core.publisher.Mono
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Guards against an entry out of touch that denies a route or a key which the newest configuration has. */
+class UnprovedRejectionTest {
+    private val protocol =
+        ExchangeProtocol(
+            readCaller = { CallerHeaders("attempt", null, null, 0, null, emptyList(), null) },
+            writeCall = { emptyList() },
+            readReply = { _, _, _ -> error("nothing is sent to an upstream") },
+            withheldHeaders = emptySet(),
+            refusalStatus = { status, _ -> status },
+            retryAfter = { "1" },
+        )
+
+    @Test
+    fun `an unknown route is denied while the configuration is proved and refused as not run while it is not`() {
+        val process = entry()
+        process.use {
+            show(it, ready = true, status = 200)
+            assertEquals(404, exchange(it.httpPort, "POST", "/unknown/", "{}").status)
+            show(it, ready = false, status = 503)
+            assertEquals(503, exchange(it.httpPort, "POST", "/unknown/", "{}").status)
+        }
+    }
+
+    private fun entry(): EntryProcess<Unit> {
+        val reducer =
+            Reducer<Unit, EntryEvent, EntryEffect> { _, event, _ ->
+                val effects =
+                    when (event) {
+                        EntryEvent.ControlLinkOpened -> configured()
+                        EntryEvent.ControlLinkClosed -> listOf(EntryEffect.ReadinessChanged(false, "not proved"))
+                        else -> emptyList()
+                    }
+                Transition(Unit, effects.toPersistentList())
+            }
+        val routed = RoutedTraffic(protocol) { Mono.never() }
+        val settings = EntryFixture.settings()
+        return EntryProcess(
+            settings,
+            systemClock(),
+            EntryFixture.SILENT,
+            reducer,
+            Unit,
+            KeyHash::verify,
+            routed = routed,
+        ).open("test").unwrap()
+    }
+
+    private fun configured() =
+        listOf(
+            EntryEffect.ConfigurationApplied(1, EntryFixture.CONFIGURATION),
+            EntryEffect.ReadinessChanged(true, "configured"),
+        )
+
+    private fun show(
+        process: EntryProcess<Unit>,
+        ready: Boolean,
+        status: Int,
+    ) {
+        process.send(if (ready) EntryEvent.ControlLinkOpened else EntryEvent.ControlLinkClosed)
+        while (exchange(process.operationsPort, "GET", "/readyz").status != status) Thread.onSpinWait()
+    }
+}
