--- a/common/src/main/kotlin/hawthorncrank/common/EventLog.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/EventLog.kt
@@ -38,9 +38,11 @@
     }
 }
 
-private fun droppedByQueue(): Long {
-    val context = LogManager.getContext(false) as? LoggerContext ?: return 0
-    return context.configuration.getAppender<CountingNoOpAppender>(DROPPED_APPENDER)?.count ?: 0
+private fun droppedByQueue(): Long = droppedAppender?.count ?: 0
+
+/** Null where another configuration of the logging library is in force. */
+private val droppedAppender: CountingNoOpAppender? by lazy {
+    (LogManager.getContext(false) as? LoggerContext)?.configuration?.getAppender(DROPPED_APPENDER)
 }
 
 /** The appender in `log4j2.xml` that receives what does not fit the queue. */
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -66,7 +66,7 @@
             callerInterface,
             traffic,
             { view },
-            { routed == null || readiness.ready || stopping },
+            ::rejectionsAreSure,
             limits.bodyTime,
             firstNumber,
             log,
@@ -133,6 +133,9 @@
             .subscribe({}, {}, { finished() })
     }
 
+    /** On routes the configuration must be proved, which readiness shows until the entry stops and is not ready for that. */
+    private fun rejectionsAreSure(): Boolean = routed == null || readiness.ready || stopping
+
     private fun apply(applied: ConfigurationView) {
         keys.replaceOrganisations(applied.configuration.organisations)
         view = applied
