Verify a key anew when its organisation changed while it was verified

Requests with one key share a verification under the key's digest, and the shared one is forgotten only after its result was handed on; a request that came after a change of the hashes, and before that, got the old answer. So a key that was taken away could be accepted once more. Routes are not affected, their keys are found by digest.

Ruled out: the cache of results, which compares the hashes.

Change: verifications are shared by digest and organisation. Before: the new test, which holds the first verification, fails every time.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/KeyRing.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/KeyRing.kt
@@ -29,7 +29,7 @@
     private val scheduler =
         Schedulers.newBoundedElastic(VERIFICATION_THREADS, QUEUED_VERIFICATIONS, "key-verification", 60, true)
     private val results: MutableMap<String, CheckedKey> = Collections.synchronizedMap(BoundedMap(CACHED_KEYS))
-    private val verifications = ConcurrentHashMap<String, Mono<Result<Organisation, Rejection>>>()
+    private val verifications = ConcurrentHashMap<Verification, Mono<Result<Organisation, Rejection>>>()
     private val pending = ConcurrentHashMap<String, AtomicInteger>()
 
     @Volatile private var organisations: Map<String, Organisation> = emptyMap()
@@ -53,20 +53,20 @@
         val digest = fastDigest(key)
         val known = results[digest]
         if (known != null && known.hashes == organisation.keyHashes) return Mono.just(known.result(organisation))
-        return verifications.computeIfAbsent(digest) { verification(key, digest, organisation) }
+        return verifications.computeIfAbsent(Verification(digest, organisation)) { verification(key, it) }
     }
 
     // Requests with the same key share one verification: after a start, many of them arrive before the first result.
     private fun verification(
         key: String,
-        digest: String,
-        organisation: Organisation,
+        verification: Verification,
     ): Mono<Result<Organisation, Rejection>> {
+        val (digest, organisation) = verification
         val waiting = pending.computeIfAbsent(organisation.name) { AtomicInteger() }
         if (waiting.incrementAndGet() > PENDING_PER_ORGANISATION) {
             waiting.decrementAndGet()
             return Mono.just<Result<Organisation, Rejection>>(Err(Rejection.KeyChecksBusy)).doFinally {
-                verifications.remove(digest)
+                verifications.remove(verification)
             }
         }
         return Mono
@@ -78,7 +78,7 @@
             .onErrorReturn(RejectedExecutionException::class.java, Err(Rejection.KeyChecksBusy))
             .doFinally {
                 waiting.decrementAndGet()
-                verifications.remove(digest)
+                verifications.remove(verification)
             }.cache()
     }
 
@@ -90,6 +90,12 @@
         return digest.digest(key.toByteArray()).toHex()
     }
 
+    /** A key is verified anew when its organisation changed meanwhile, so that a revoked one is not accepted. */
+    private data class Verification(
+        val digest: String,
+        val organisation: Organisation,
+    )
+
     private class CheckedKey(
         val hashes: List<String>,
         val valid: Boolean,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/KeyRingTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/KeyRingTest.kt
@@ -41,6 +41,26 @@
         assertEquals("crew", check("crew.other").get()?.name)
     }
 
+    /** Guards against a revoked key that is accepted because a verification from before the change answers for it. */
+    @Test
+    fun `a verification that began before a change does not answer for the changed hash`() {
+        val begun = CountDownLatch(1)
+        val release = CountDownLatch(1)
+        val slow =
+            KeyRing { key, hash ->
+                begun.countDown()
+                release.await()
+                key == hash
+            }
+        slow.replaceOrganisations(listOf(organisation("crew", "crew.secret")))
+        slow.organisationOf("crew.secret").toFuture()
+        assertTrue(begun.await(10, TimeUnit.SECONDS))
+        slow.replaceOrganisations(listOf(organisation("crew", "crew.other")))
+        val afterChange = slow.organisationOf("crew.secret").toFuture()
+        release.countDown()
+        assertEquals(Rejection.WrongKey, afterChange.get(10, TimeUnit.SECONDS)?.getError())
+    }
+
     /** Guards against an organisation's own traffic that is refused while its first request's key is verified. */
     @Test
     fun `requests with the same key share one verification`() {
