Record what delays requests in an entry, and tell two kinds of rejection apart

- Event 1016 and the histogram hawthorncrank.control.delay give the time that events wait for the control thread.
- A 421 is an end of its own (AttemptEnd.Misdirected, "another upstream answered at the address").
What follows from it stays as it was.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
@@ -20,6 +20,9 @@
         val retryAfterMilliseconds: Long?,
     ) : AttemptEnd
 
+    /** Another upstream answered at the address and did not run the request. */
+    data object Misdirected : AttemptEnd
+
     /** The connection broke after the request was sent. */
     data class Broken(
         val tokens: Int,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -89,6 +89,7 @@
 internal fun certainlyNotStarted(end: AttemptEnd): Boolean =
     end is AttemptEnd.NotConnected ||
         end is AttemptEnd.Rejected ||
+        end is AttemptEnd.Misdirected ||
         end is AttemptEnd.TimedOut && end.phase == TimeoutPhase.CONNECT
 
 private fun describe(end: AttemptEnd): String =
@@ -96,6 +97,7 @@
         is AttemptEnd.Completed -> "it answered with status ${end.status}"
         AttemptEnd.NotConnected -> "no connection could be opened"
         is AttemptEnd.Rejected -> "the upstream rejected it before running it"
+        AttemptEnd.Misdirected -> "another upstream answered at the address"
         is AttemptEnd.Broken -> "the connection broke after ${end.bytes} bytes"
         is AttemptEnd.TimedOut -> "it timed out (${end.phase.name.lowercase().replace('_', ' ')})"
         is AttemptEnd.Cancelled -> "it was cancelled"
@@ -124,7 +126,7 @@
             if (attempt.suspect) clearSuspicion(attempt.contentDigest)
         }
 
-        is AttemptEnd.Rejected -> upstreamAnswered(name)
+        is AttemptEnd.Rejected, AttemptEnd.Misdirected -> upstreamAnswered(name)
 
         is AttemptEnd.Cancelled -> Unit
     }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Outcomes.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Outcomes.kt
@@ -37,6 +37,11 @@
             refuse(active, Refusal.Overloaded(end.retryAfterMilliseconds ?: DEFAULT_RETRY_AFTER_MILLISECONDS))
         }
 
+        end is AttemptEnd.Misdirected -> {
+            explain(active.number, "reached another upstream, which did not run it")
+            refuse(active, Refusal.Overloaded(DEFAULT_RETRY_AFTER_MILLISECONDS))
+        }
+
         !rules.claimedCallsRunOnce -> enqueue(active)
 
         else -> {
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
@@ -31,6 +31,9 @@
             retryOrRefuse(next, charged = true, Refusal.Overloaded(retryAfter))
         }
 
+        AttemptEnd.Misdirected ->
+            retryOrRefuse(next, charged = true, Refusal.Overloaded(DEFAULT_RETRY_AFTER_MILLISECONDS))
+
         is AttemptEnd.Broken -> {
             val crashed = upstream(attempt.upstream)?.kind == UpstreamKind.ENGINE
             retryOrRefuse(next, charged = !crashed, Refusal.Interrupted)
--- a/entry/src/main/kotlin/hawthorncrank/entry/UpstreamReply.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/UpstreamReply.kt
@@ -10,6 +10,9 @@
         val retryAfterMilliseconds: Long?,
     ) : UpstreamReply
 
+    /** Another upstream than the expected one answered at the address. It did not process the request. */
+    data object Misdirected : UpstreamReply
+
     /** The answer does not belong to this request. */
     data object Mismatched : UpstreamReply
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -105,7 +105,9 @@
         parseLoad(arrived.headers.get(LOAD_HEADER))?.let { report(EntryEvent.LoadReported(effect.upstream, it)) }
         when (val reply = owner.classifyReply(arrived)) {
             UpstreamReply.Accepted -> Unit
-            is UpstreamReply.Rejected -> return endRejected(reply, arrived)
+            is UpstreamReply.Rejected ->
+                return endNotRun(AttemptEnd.Rejected(reply.retryAfterMilliseconds), arrived)
+            UpstreamReply.Misdirected -> return endNotRun(AttemptEnd.Misdirected, arrived)
             UpstreamReply.Mismatched -> {
                 end(AttemptEnd.Broken(0, 0))
                 return cancel()
@@ -178,11 +180,11 @@
     }
 
     /** Reads the body of a rejection to its end if it is small, so that the connection can be reused. */
-    private fun endRejected(
-        reply: UpstreamReply.Rejected,
+    private fun endNotRun(
+        end: AttemptEnd,
         arrived: UpstreamSignal.Head,
     ) {
-        end(AttemptEnd.Rejected(reply.retryAfterMilliseconds))
+        end(end)
         val length = arrived.headers.get("Content-Length")?.toLongOrNull()
         if (length != null && length <= SMALL_BODY_BYTES) request(Long.MAX_VALUE) else cancel()
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
@@ -11,16 +11,19 @@
 /**
  * The single thread that runs the reducer. It takes events in order of arrival, reduces each one with the time at which
  * it was taken, and executes the resulting effects. It also generates [EntryEvent.Tick], even while events are queued.
+ * [measureDelay] gets the milliseconds that each event waited in the queue.
  */
 internal class ControlThread<State>(
     private val reducer: Reducer<State, EntryEvent, EntryEffect>,
     initial: State,
     private val clock: MillisecondClock,
     private val log: EventLog,
+    private val measureDelay: (Long) -> Unit,
     private val execute: (EntryEffect) -> Unit,
 ) : AutoCloseable {
-    private val queue = LinkedBlockingQueue<EntryEvent>()
+    private val queue = LinkedBlockingQueue<QueuedEvent>()
     private var state = initial
+    private var nextDelayLog = clock.now()
 
     @Volatile private var open = true
     private val thread = Thread(::run, "entry-control").apply { isDaemon = true }
@@ -28,7 +31,7 @@
     fun start() = thread.start()
 
     fun send(event: EntryEvent) {
-        queue.add(event)
+        queue.add(QueuedEvent(event, clock.now()))
     }
 
     override fun close() {
@@ -53,11 +56,22 @@
 
     private fun poll(milliseconds: Long): EntryEvent? =
         try {
-            queue.poll(milliseconds, TimeUnit.MILLISECONDS)
+            queue.poll(milliseconds, TimeUnit.MILLISECONDS)?.let(::taken)
         } catch (_: InterruptedException) {
             null
         }
 
+    private fun taken(queued: QueuedEvent): EntryEvent {
+        val now = clock.now()
+        val delay = now - queued.at
+        measureDelay(delay)
+        if (delay >= LOGGED_DELAY_MILLISECONDS && now >= nextDelayLog) {
+            nextDelayLog = now + DELAY_LOG_INTERVAL_MILLISECONDS
+            log.record(EntryEventCode.EVENTS_DELAYED, "delay" to delay, "queued" to queue.size)
+        }
+        return queued.event
+    }
+
     // An exception in the reducer must not end the thread: the previous state is kept and other requests continue.
     private fun reduce(event: EntryEvent) {
         val transition =
@@ -79,5 +93,12 @@
 
     private companion object {
         const val TICK_MILLISECONDS = 100L
+        const val LOGGED_DELAY_MILLISECONDS = 250L
+        const val DELAY_LOG_INTERVAL_MILLISECONDS = 1_000L
     }
 }
+
+private class QueuedEvent(
+    val event: EntryEvent,
+    val at: Long,
+)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
@@ -25,4 +25,5 @@
     EXCHANGE_FAILED(1013, Level.ERROR, "exchange with a caller failed"),
     UPSTREAM_LIST_UNAVAILABLE(1014, Level.WARN, "the platform's list of upstreams cannot be read"),
     UPSTREAM_LIST_RESTORED(1015, Level.INFO, "the platform's list of upstreams can be read again"),
+    EVENTS_DELAYED(1016, Level.WARN, "events wait for the control thread"),
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryMetrics.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryMetrics.kt
@@ -17,6 +17,13 @@
     private val organisations = LabelLimiter(ORGANISATION_LABELS)
     private val queueLengths = ConcurrentHashMap<String, AtomicLong>()
     private val queueBytes = ConcurrentHashMap<String, AtomicLong>()
+    private val controlDelay =
+        Timer
+            .builder("hawthorncrank.control.delay")
+            .publishPercentileHistogram()
+            .minimumExpectedValue(SHORTEST)
+            .maximumExpectedValue(LONGEST)
+            .register(registry)
 
     fun scrape(): String = registry.scrape()
 
@@ -27,6 +34,9 @@
         Gauge.builder(name, value).strongReference(true).register(registry)
     }
 
+    /** Records how long an event waited for the control thread. */
+    fun recordControlDelay(milliseconds: Long) = controlDelay.record(Duration.ofMillis(milliseconds))
+
     fun record(measurement: Measurement) {
         when (measurement) {
             is Measurement.RequestEnded -> requestEnded(measurement)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -34,13 +34,13 @@
     client: UpstreamClient = upstreamClient(),
     private val routed: RoutedTraffic? = null,
 ) : Entry {
+    private val metrics = EntryMetrics()
     private val control: ControlThread<State> =
-        ControlThread(reducer, initial, clock, log) { effect -> effects.execute(effect) }
+        ControlThread(reducer, initial, clock, log, { metrics.recordControlDelay(it) }) { effects.execute(it) }
     private val activeExchanges = ActiveExchanges(client, clock::now, control::send)
     private val keys = ApiKeyAuthenticator(verify)
     private val callerInterface =
         if (routed == null) nativeCallers(keys, clock::now) else routedCallers(keys, routed.protocol, clock::now)
-    private val metrics = EntryMetrics()
     private val links = EntryLinks(settings, control::send, log)
     private val polls =
         UpstreamPolls(settings.availabilityZone, settings.platformAddress, { view }, control::send, log)
