--- /dev/null
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -0,0 +1,124 @@
+package hawthorncrank.entry.internal
+
+import com.github.michaelbull.result.unwrap
+import hawthorncrank.common.KeyHash
+import hawthorncrank.common.systemClock
+import hawthorncrank.entry.CallerHeaders
+import hawthorncrank.entry.ExchangeProtocol
+import hawthorncrank.entry.RoutedTraffic
+import hawthorncrank.entry.UpstreamReply
+import hawthorncrank.entry.core.EntryBehaviour
+import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.core.EntrySettings
+import hawthorncrank.entry.core.EntryState
+import hawthorncrank.entry.core.ListedUpstream
+import hawthorncrank.entry.core.entryReducer
+import hawthorncrank.entry.core.initialEntryState
+import hawthorncrank.protocol.ANONYMOUS_ORGANISATION
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.Destination
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.Repetition
+import hawthorncrank.protocol.RequestRoute
+import hawthorncrank.protocol.RouteService
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.protocol.routeClassName
+import hawthorncrank.routing.ChoiceRule
+import hawthorncrank.routing.RoutingPolicy
+import hawthorncrank.scheduling.SchedulingPolicy
+import reactor.core.publisher.Mono
+
+/** Starts an entry with routes that needs neither a control replica nor a platform. */
+internal object RoutedEntryFixture {
+    const val PRIORITY_HEADER = "test-priority"
+    private const val SERVICE_LEVEL = "level"
+    private val settings =
+        EntrySettings(
+            "a",
+            "zone",
+            "region",
+            listOf("a"),
+            randomSeed = 7,
+            regions = mapOf("zone" to "region"),
+            behaviour =
+                EntryBehaviour(
+                    brokenConnectionIsCrash = false,
+                    connectFailuresToExclude = 1,
+                    scheduling = SchedulingPolicy(preemption = false, floor = false),
+                    routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
+                ),
+        )
+
+    private val protocol =
+        ExchangeProtocol(
+            readCallerHeaders = {
+                CallerHeaders("attempt", it.get("test-key"), it.get("test-time")?.toLong(), 100, 10, emptyList(), null)
+            },
+            writeUpstreamHeaders = { call -> listOf(PRIORITY_HEADER to call.tier.toString()) },
+            classifyReply = { _, _, _ -> UpstreamReply.Accepted },
+            strippedHeaders = emptySet(),
+            refusalStatus = { status, _ -> status },
+            formatRetryAfter = { "1" },
+        )
+
+    /** Serves the [routes] with one engine that listens on [enginePort], for callers of [organisation]. */
+    fun entry(
+        enginePort: Int,
+        routes: List<RequestRoute>,
+        organisation: Organisation = organisation(tier = null),
+    ): EntryProcess<EntryState> {
+        val process =
+            EntryProcess(
+                EntryFixture.settings(),
+                systemClock(),
+                EntryFixture.SILENT,
+                entryReducer(settings),
+                initialEntryState(settings),
+                KeyHash::verify,
+                routed = RoutedTraffic(protocol) { Mono.never() },
+            ).open("test").unwrap()
+        val update = ControlToEntry.ConfigurationUpdate(1, configuration(routes, organisation), confirmed = true)
+        process.send(EntryEvent.ControlLinkOpened)
+        process.send(EntryEvent.ControlMessageReceived(update))
+        process.send(EntryEvent.UpstreamsListed(listOf(engine(enginePort))))
+        return process
+    }
+
+    fun route(
+        path: String,
+        tier: Int,
+        streamed: Boolean = false,
+    ) = RequestRoute(
+        name = path,
+        host = "127.0.0.1",
+        pathPrefix = path,
+        serviceLevel = SERVICE_LEVEL,
+        tier = tier,
+        destinations = listOf(Destination("model")),
+        repetition = Repetition.RESUMABLE,
+        streamed = streamed,
+        anonymous = true,
+    )
+
+    fun organisation(tier: Int?) =
+        Organisation(
+            ANONYMOUS_ORGANISATION,
+            "region",
+            (1..3).map { routeClassName(SERVICE_LEVEL, it) },
+            emptyList(),
+            tier = tier,
+        )
+
+    private fun configuration(
+        routes: List<RequestRoute>,
+        organisation: Organisation,
+    ) = Configuration(
+        classes = (1..3).map { TrafficClass(routeClassName(SERVICE_LEVEL, it), it) },
+        organisations = listOf(organisation),
+        routes = routes,
+        routeServices = listOf(RouteService("model", servesModels = true)),
+    )
+
+    private fun engine(port: Int) = ListedUpstream("engine", "model", "127.0.0.1:$port", "zone", slots = 6, false)
+}
