Tell engines which route of an organisation is the more urgent

Cause: the tier of an organisation replaces the tier of the route, and engines got only this tier. When its memory runs out, an engine preempts the newest of the least urgent requests; among equals that is as often an urgent one. All organisations of the deployments have a tier of their own, so that engines saw two priorities where the configuration has six combinations. Class of fault: an order that the decisions use (tier, then urgency within it) is cut down where it leaves the process.

Change: priorities number the pairs of tier in force and tier of the route without gaps, 1 first, so the ten priorities of the platform suffice. The tier of an organisation still comes first.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
@@ -2,7 +2,8 @@
 
 /**
  * The properties of a request that the control thread uses. [contentDigest] covers organisation, model or path, and
- * body. [finishBy] is a time on the entry's clock and comes from the caller's deadline header or the class.
+ * body. [finishBy] is a time on the entry's clock and comes from the caller's deadline header or the class. [routeTier]
+ * is the tier of the request's route, which the tier of its organisation may replace.
  */
 data class CallerRequest(
     val number: Long,
@@ -15,6 +16,7 @@
     val finishBy: Long?,
     val identifier: String = "",
     val retryPolicy: RetryPolicy? = null,
+    val routeTier: Int? = null,
 )
 
 /**
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationState.kt
@@ -22,6 +22,7 @@
     val askedAt: Long? = null,
     val behindSince: Long? = null,
     val startedAt: Long? = null,
+    val enginePriorities: EnginePriorities = EnginePriorities(),
 ) {
     val inForce: Boolean
         get() = version > 0
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry.core.internal
 
+import hawthorncrank.entry.core.CallerRequest
 import hawthorncrank.entry.core.CancelReason
 import hawthorncrank.entry.core.Refusal
 import hawthorncrank.entry.core.RequestTarget
@@ -7,6 +8,7 @@
 import hawthorncrank.routing.PlacementConstraint
 import hawthorncrank.routing.Router
 import hawthorncrank.routing.routerPlacement
+import hawthorncrank.scheduling.CapacityKind
 import hawthorncrank.scheduling.DispatchDecision
 import hawthorncrank.scheduling.OfferOutcome
 import hawthorncrank.scheduling.Placement
@@ -132,7 +134,16 @@
     if (upstream == null || !contentMayRun(active.request.contentDigest)) {
         return refuse(active, Refusal.Convicted(active.request.contentDigest))
     }
-    startAttempt(active, upstream, decision.priority)
+    startAttempt(active, upstream, enginePriority(active.request, decision))
+}
+
+private fun Reduction.enginePriority(
+    request: CallerRequest,
+    decision: DispatchDecision.Start,
+): Int {
+    val routeTier = request.routeTier
+    if (routeTier == null || decision.capacity == CapacityKind.FLOOR) return decision.priority
+    return state.configuration.enginePriorities.priorityOf(Urgency(decision.priority, routeTier))
 }
 
 private fun Reduction.refuseWork(
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamReports.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamReports.kt
@@ -29,6 +29,7 @@
 internal fun Reduction.configurationChanged() {
     refreshUpstreams()
     val configuration = state.configuration.effective
+    configuration { it.copy(enginePriorities = enginePriorities(configuration)) }
     val routed = configuration.routeServices.map { it.name }
     val labels = configuration.upstreams.flatMap { it.models } + configuration.services.map { it.name } + routed
     state =
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -47,6 +47,7 @@
             identifier = caller.identifier,
             retryPolicy =
                 RetryPolicy(idempotent, route.repetition == Repetition.RESUMABLE, route.engineAttempts),
+            routeTier = route.tier,
         )
     }
 
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -55,7 +55,7 @@
             readCallerHeaders = {
                 CallerHeaders("attempt", it.get("test-key"), it.get("test-time")?.toLong(), 100, 10, emptyList(), null)
             },
-            writeUpstreamHeaders = { call -> listOf(PRIORITY_HEADER to call.tier.toString()) },
+            writeUpstreamHeaders = { call -> listOf(PRIORITY_HEADER to call.priority.toString()) },
             classifyReply = { _, _, _ -> UpstreamReply.Accepted },
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
