--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptDelaysTest.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptDelaysTest.kt
@@ -53,6 +53,25 @@
         assertTrue(place(prefilled, long(7, 99)) in placed, "an engine without the prompt is chosen")
     }
 
+    /** Guards against urgent short prompts that wait on the engines kept for them while other engines have free slots. */
+    @Test
+    fun `many entries together do not fill the engines for short prompts while others of the zone have room`() {
+        val zone = (10..26).map { engine("north-$it", "north", slots = 24) }
+        val entries = 14
+        val running = HashMap<String, Int>()
+        val routers = MutableList(entries) { routerIn("north", zone, entries, seed = it.toLong()) }
+        for (number in 1L..12L) {
+            for (entry in routers.indices) {
+                val work = short(number * entries + entry)
+                val name = place(routers[entry], work)
+                val attempt = RoutedAttempt(work.requestNumber, name, work, 1, CapacityKind.SHARED)
+                routers[entry] = routers[entry].attemptStarted(attempt, 0)
+                running.merge(name, 1, Int::plus)
+            }
+        }
+        assertTrue(running.values.max() <= 24, "requests by engine: $running")
+    }
+
     @Test
     fun `an engine that leaves moves only its own prompts`() {
         val before = (1L..40L).associateWith { place(routerIn("north"), long(it, 1)) }
@@ -61,14 +80,18 @@
         before.filterValues { it != gone }.forEach { (part, name) -> assertEquals(name, after[part]) }
     }
 
-    private fun routerIn(zone: String) =
-        router(
-            Configuration(classes = listOf(TrafficClass("class", 1)), upstreams = engines),
-            RouterLocation(zone, zone),
-            liveEntries = 1,
-            randomSeed = zone.hashCode().toLong(),
-            policy = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
-        )
+    private fun routerIn(
+        zone: String,
+        upstreams: List<Upstream> = engines,
+        entries: Int = 1,
+        seed: Long = zone.hashCode().toLong(),
+    ) = router(
+        Configuration(classes = listOf(TrafficClass("class", 1)), upstreams = upstreams),
+        RouterLocation(zone, zone),
+        liveEntries = entries,
+        randomSeed = seed,
+        policy = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
+    )
 
     private fun place(
         router: Router,
@@ -106,5 +129,6 @@
     private fun engine(
         name: String,
         zone: String,
-    ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, models = listOf("model"), slots = 64)
+        slots: Int = 64,
+    ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, models = listOf("model"), slots = slots)
 }
