Do not refuse a request because three upstreams refused connections at once

Cause: a request was given up after three upstreams that it could not reach, because each may take a second, and each was charged to the retry budget. A refused connection takes one round trip, and an engine that is down has no work and is therefore placed first: the first eight requests of each entry found the dead engines three at a time.

Change: the limit is 3 s spent on upstreams that were not reached (and 20 of them); such an attempt is not charged, since it is no load.

Tests: RoutedRequestsTest, six refused connections (failed before: no further attempt) and three connect timeouts (as before).

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
@@ -14,7 +14,8 @@
 /**
  * One request from arrival to its final answer. [mayHaveRun] is set after the first attempt that may have started at
  * the upstream; from then on no refusal may say "not run". [firstByteAt] is when the caller's answer began. [resume] is
- * where the next attempt resumes the stream. [unreached] counts attempts that reached no upstream. [lastUpstream] is
+ * where the next attempt resumes the stream. [unreached] counts attempts that did not reach their upstream, and
+ * [unreachedTime] the milliseconds that they took. [lastUpstream] is
  * the one that failed last, and [upstream] the one to which the request was sent last.
  */
 internal data class ActiveRequest(
@@ -33,6 +34,7 @@
     val callerLeft: Boolean = false,
     val resume: ResumePoint? = null,
     val unreached: Int = 0,
+    val unreachedTime: Long = 0,
     val reason: String? = null,
 ) {
     val number: Long
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
@@ -24,7 +24,7 @@
     measureWastedTokens(attempt, end)
     if (active.mayHaveRun && !active.request.isIdempotent) return refuse(active, Refusal.NonIdempotentInterrupted)
     val target = active.request.target.label
-    val next = withoutUnreachedAttempt(active, end).copy(lastUpstream = attempt.upstream)
+    val next = withoutUnreachedAttempt(active, attempt, end).copy(lastUpstream = attempt.upstream)
     when (end) {
         is AttemptEnd.Rejected -> {
             val retryAfter = end.retryAfterMilliseconds ?: DEFAULT_RETRY_AFTER_MILLISECONDS
@@ -41,27 +41,35 @@
 
         is AttemptEnd.TimedOut ->
             if (end.phase == TimeoutPhase.CONNECT) {
-                retryOrRefuse(next, charged = true, Refusal.NoUpstream(target))
+                retryOrRefuse(next, charged = false, Refusal.NoUpstream(target))
             } else {
                 retryOrRefuse(next, charged = true, Refusal.Interrupted)
             }
 
         is AttemptEnd.Cancelled -> retryOrRefuse(next, charged = true, Refusal.Interrupted)
 
-        else -> retryOrRefuse(next, charged = true, Refusal.NoUpstream(target))
+        // An attempt that reached no upstream is no load there, so it is not charged to the retry budget.
+        else -> retryOrRefuse(next, charged = false, Refusal.NoUpstream(target))
     }
 }
 
-/** An attempt that reached no upstream does not count towards the maximum attempts of the route. */
-private fun withoutUnreachedAttempt(
+/** An attempt that did not reach its upstream does not count towards the maximum attempts of the route. */
+private fun Reduction.withoutUnreachedAttempt(
     active: ActiveRequest,
+    attempt: RunningAttempt,
     end: AttemptEnd,
 ): ActiveRequest {
-    val unreached = end is AttemptEnd.NotConnected || end is AttemptEnd.TimedOut && end.phase == TimeoutPhase.CONNECT
-    if (active.request.retryPolicy == null || !unreached) return active
-    return active.copy(attempts = active.attempts - 1, unreached = active.unreached + 1)
+    if (active.request.retryPolicy == null || !reachedNoUpstream(end) && end !is AttemptEnd.Misdirected) return active
+    return active.copy(
+        attempts = active.attempts - 1,
+        unreached = active.unreached + 1,
+        unreachedTime = active.unreachedTime + now - attempt.startedAt,
+    )
 }
 
+private fun reachedNoUpstream(end: AttemptEnd): Boolean =
+    end is AttemptEnd.NotConnected || end is AttemptEnd.TimedOut && end.phase == TimeoutPhase.CONNECT
+
 private fun Reduction.completed(
     active: ActiveRequest,
     attempt: RunningAttempt,
@@ -128,7 +136,8 @@
     val limit = active.request.retryPolicy?.maximumAttempts ?: ATTEMPTS_LIMIT
     return when {
         active.attempts >= limit -> "it had ${active.attempts} attempts"
-        active.unreached >= UNREACHED_LIMIT -> "${active.unreached} upstreams could not be reached"
+        active.unreached >= UNREACHED_LIMIT || active.unreachedTime >= UNREACHED_TIME_LIMIT_MILLISECONDS ->
+            "${active.unreached} upstreams could not be reached in ${active.unreachedTime} ms"
         charged && !state.budget.allows(target, now) -> "the retry budget of $target is used up"
         now >= (active.request.finishBy ?: Long.MAX_VALUE) -> "its deadline has passed"
         else -> null
@@ -165,13 +174,14 @@
     end: AttemptEnd,
     policy: RetryPolicy,
 ) {
-    val next = withoutUnreachedAttempt(active, end)
-    val obstacle = if (policy.resumable) retryObstacle(next, charged = true) else "its route does not let it resume"
+    val next = withoutUnreachedAttempt(active, attempt, end)
+    val charged = !reachedNoUpstream(end)
+    val obstacle = if (policy.resumable) retryObstacle(next, charged) else "its route does not let it resume"
     if (obstacle != null) {
         recordRequestEvent(active, EntryDecisionEvent.RETRY_REFUSED, "reason" to obstacle)
         return breakStream(next, "the upstream did not complete the answer, and $obstacle")
     }
-    state = state.copy(budget = state.budget.retried(active.request.target.label, now))
+    if (charged) state = state.copy(budget = state.budget.retried(active.request.target.label, now))
     explain(active.number, "resumes its stream on any engine after ${active.deliveredBytes} bytes")
     enqueue(next.copy(lastUpstream = attempt.upstream, resume = ResumePoint(attempt.number, active.deliveredBytes)))
 }
@@ -209,8 +219,9 @@
         else -> attempt.bytes
     }
 
-// Each upstream that cannot be reached takes up to one second of the request's time.
-private const val UNREACHED_LIMIT = 3
+// Three upstreams that accept no connection in time. One that refuses the connection takes only a round trip.
+private const val UNREACHED_TIME_LIMIT_MILLISECONDS = 3_000L
+private const val UNREACHED_LIMIT = 20
 
 // Limits the work that one request causes when every upstream fails it immediately.
 private const val ATTEMPTS_LIMIT = 5
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
@@ -122,4 +122,27 @@
     }
 
     private fun failure() = AttemptEnd.Completed(500, 0, 10, null)
+
+    /** Guards against refusals while most upstreams work, because several others refuse connections. */
+    @Test
+    fun `a request goes on to other upstreams while connections are refused at once`() {
+        val many = RoutedScenario((1..8).map { listedEngine("e$it") })
+        var start = many.stream(1, AT_MOST_ONCE).start()
+        repeat(6) { start = many.end(start.attemptNumber, AttemptEnd.NotConnected).start() }
+        many.send(EntryEvent.AttemptFirstByte(start.attemptNumber))
+        val completed = AttemptEnd.Completed(200, 5, 50, null)
+        assertEquals(emptyList(), many.end(start.attemptNumber, completed).of<EntryEffect.RefuseCaller>())
+    }
+
+    @Test
+    fun `a request is refused after three upstreams did not accept a connection in time`() {
+        val many = RoutedScenario((1..8).map { listedEngine("e$it") })
+        var effects = many.stream(1, AT_MOST_ONCE)
+        repeat(3) {
+            val start = effects.start()
+            many.pass(1_000)
+            effects = many.end(start.attemptNumber, AttemptEnd.TimedOut(TimeoutPhase.CONNECT, 0, 0))
+        }
+        assertEquals(StatedOutcome.NOT_RUN, effects.refusal().outcome)
+    }
 }
