Stop sending to an address where another upstream answers

Cause: a 421 counted as an answer of the upstream. The platform lists the old name for some seconds, nothing is in flight there, and so it is placed first again and again. Class of fault: who fails fast looks free.

Change: after a 421 the upstream gets no more work at that address; only another address in the platform's list makes it usable again. A probe would not tell, since the new upstream answers it.

Test: RoutedRequestsTest (failed before: the second request went to the same upstream).

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -126,7 +126,9 @@
             if (attempt.suspect) clearSuspicion(attempt.contentDigest)
         }
 
-        is AttemptEnd.Rejected, AttemptEnd.Misdirected -> upstreamAnswered(name)
+        is AttemptEnd.Rejected -> upstreamAnswered(name)
+
+        AttemptEnd.Misdirected -> addressTaken(name)
 
         is AttemptEnd.Cancelled -> Unit
     }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -11,14 +11,14 @@
 import kotlinx.collections.immutable.toPersistentSet
 
 /**
- * Whether a configured upstream may get new work: it is listed by the platform, not marked as leaving or drained, and
- * not excluded because of failures that this entry observed.
+ * Whether a configured upstream may get new work: it is listed by the platform, not marked as leaving or drained, not
+ * excluded because of failures that this entry observed, and not replaced by another one at its address.
  */
-internal fun Reduction.mayGetWork(upstream: Upstream): Boolean =
-    !isLeaving(upstream) &&
-        state.membership.live?.contains(upstream.name) != false &&
-        state.membership.observed[upstream.name]
-            ?.excluded == null
+internal fun Reduction.mayGetWork(upstream: Upstream): Boolean {
+    if (isLeaving(upstream) || state.membership.live?.contains(upstream.name) == false) return false
+    val observation = state.membership.observed[upstream.name] ?: return true
+    return observation.excluded == null && observation.takenAddress != upstream.address
+}
 
 internal fun Reduction.isLeaving(upstream: Upstream): Boolean {
     val membership = state.membership
@@ -85,6 +85,15 @@
     if (lost >= LOST_ANSWERS_TO_EXCLUDE) exclude(name, "$lost answers in a row were lost")
 }
 
+/** Another upstream has the address. Its probes would answer, so only a new address makes the upstream usable again. */
+internal fun Reduction.addressTaken(name: String) {
+    val address = upstream(name)?.address ?: return
+    val observation = state.membership.observed[name] ?: Observation()
+    if (observation.takenAddress == address) return
+    observe(name, observation.copy(takenAddress = address))
+    record(EntryDecisionEvent.UPSTREAM_EXCLUDED, "upstream" to name, "reason" to "another upstream has its address")
+}
+
 /** Applies the platform's list. Work that runs on an upstream that is no longer listed continues. */
 internal fun Reduction.upstreamsListed(listed: List<ListedUpstream>) {
     membership { it.copy(listedAt = now) }
@@ -127,7 +136,7 @@
 
 internal fun Reduction.upstreamAnswered(name: String) {
     val observation = state.membership.observed[name] ?: return
-    if (observation.excluded == null) membership { it.copy(observed = it.observed.remove(name)) }
+    if (observation.excluded == null) observe(name, Observation(takenAddress = observation.takenAddress))
 }
 
 internal fun Reduction.exclude(
@@ -148,7 +157,7 @@
     val observation = state.membership.observed[name] ?: return
     val exclusion = observation.excluded ?: return
     if (reachable) {
-        membership { it.copy(observed = it.observed.remove(name)) }
+        observe(name, Observation(takenAddress = observation.takenAddress))
         return record(EntryDecisionEvent.UPSTREAM_RETURNED, "upstream" to name)
     }
     val backoff = minOf(exclusion.backoff * 2, LONGEST_BACKOFF_MILLISECONDS)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
@@ -25,11 +25,15 @@
     val observed: PersistentMap<String, Observation> = persistentMapOf(),
 )
 
-/** The failures of an upstream that this entry observed. [excluded] is set while it gets no work and is probed. */
+/**
+ * The failures of an upstream that this entry observed. [excluded] is set while it gets no work and is probed.
+ * [takenAddress] is the address at which another upstream answered in its place.
+ */
 internal data class Observation(
     val connectFailures: Int = 0,
     val lostAnswers: Int = 0,
     val excluded: Exclusion? = null,
+    val takenAddress: String? = null,
 )
 
 /** [backoff] is the pause before the probe at [nextProbeAt]; [probing] is set while a probe is running. */
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
@@ -123,6 +123,21 @@
 
     private fun failure() = AttemptEnd.Completed(500, 0, 10, null)
 
+    /** Guards against an upstream that is gone but rejects at once, and so looks like the fastest one. */
+    @Test
+    fun `an upstream at whose address another one answers gets no more requests until it is listed elsewhere`() {
+        val gone = scenario.stream(1, RESUMABLE).start()
+        val other = scenario.end(gone.attemptNumber, AttemptEnd.Misdirected).start()
+        assertNotEquals(gone.upstream, other.upstream)
+        scenario.pass(3_000)
+        scenario.send(EntryEvent.ProbeAnswered(gone.upstream, reachable = true))
+        (2L..4L).forEach { assertEquals(other.upstream, scenario.stream(it, RESUMABLE).start().upstream) }
+        val listed = listOf(listedEngine("e1"), listedEngine("e2")).map { it.copy(address = "127.0.0.1:9") }
+        scenario.send(EntryEvent.UpstreamsListed(listed))
+        val later = (10L..13L).map { scenario.stream(it, RESUMABLE).start().upstream }
+        assertTrue(gone.upstream in later, "the upstream is not used at its new address")
+    }
+
     /** Guards against refusals while most upstreams work, because several others refuse connections. */
     @Test
     fun `a request goes on to other upstreams while connections are refused at once`() {
