--- a/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveryTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveryTest.kt
@@ -71,6 +71,31 @@
         awaitHealthy()
     }
 
+    /** Fails if an acknowledged record is lost with two of five disks while all other replicas lose power. */
+    @Test
+    fun `an acknowledged record survives two lost disks and a loss of power everywhere else`() {
+        for (seed in 1L..40L) {
+            val six = SimulatedGroup(seed, listOf("a"), listOf("b", "c", "d", "e", "f"), adjustSettings = ::fiveVoters)
+            assertTrue(six.run(60_000) { six.voters.size == 5 && six.isHealthy() }, "seed $seed: no group of five")
+            val ticket = six.propose(six.leader!!.name)
+            assertTrue(six.run(5_000) { ticket in six.checker.committedTickets }, "seed $seed: not acknowledged")
+            val committed = six.checker.committed.size
+            val followers = six.voters.map { it.name }.filter { it != six.leader!!.name }
+            val wiped = listOf(six.leader!!.name, followers[six.random.nextInt(followers.size)])
+            six.replicas.keys.forEach { if (it in wiped) six.loseDisk(it) else six.crash(it) }
+            six.run(500)
+            six.replicas.keys.forEach(six::start)
+            assertTrue(six.run(60_000) { six.voters.size == 5 && six.isHealthy() }, "seed $seed: no recovery")
+            val later = six.propose(six.leader!!.name)
+            assertTrue(six.run(5_000) { later in six.checker.committedTickets }, "seed $seed: no progress")
+            assertTrue(six.checker.committed.size > committed, "seed $seed: committed records are gone")
+            val applications = six.voters.map { six.replicas.getValue(it.name).application }
+            assertTrue(applications.all { "$ticket" in it }, "seed $seed: the acknowledged record is gone")
+        }
+    }
+
+    private fun fiveVoters(settings: ReplicaSettings) = settings.copy(targetVoters = 5, lostVoterTimeout = 3_000)
+
     private fun firstAppendWithRecords() =
         group.sentMessages.firstOrNull { (it.message as? ReplicaMessage.Append)?.records?.isNotEmpty() == true }
 
