Try an upstream whose address was taken again after a while

Found in reading the change: if the platform's list showed a new address between the attempt and its 421, the new address was marked, and the upstream would have got no work from this entry for good. The mark now ends after 10 s. An upstream that answers loses its record of failures again, as before, instead of keeping an empty one, which would have made every completed request look through all upstreams.

Test: RoutedRequestsTest, 'an upstream whose address was taken is tried again after a while'.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -17,7 +17,7 @@
 internal fun Reduction.mayGetWork(upstream: Upstream): Boolean {
     if (isLeaving(upstream) || state.membership.live?.contains(upstream.name) == false) return false
     val observation = state.membership.observed[upstream.name] ?: return true
-    return observation.excluded == null && observation.takenAddress != upstream.address
+    return observation.excluded == null && observation.taken?.address != upstream.address
 }
 
 internal fun Reduction.isLeaving(upstream: Upstream): Boolean {
@@ -85,12 +85,12 @@
     if (lost >= LOST_ANSWERS_TO_EXCLUDE) exclude(name, "$lost answers in a row were lost")
 }
 
-/** Another upstream has the address. Its probes would answer, so only a new address makes the upstream usable again. */
+/** Another upstream has the address. A probe would reach that one, so the platform's list has to show what changed. */
 internal fun Reduction.addressTaken(name: String) {
     val address = upstream(name)?.address ?: return
     val observation = state.membership.observed[name] ?: Observation()
-    if (observation.takenAddress == address) return
-    observe(name, observation.copy(takenAddress = address))
+    if (observation.taken?.address == address) return
+    observe(name, observation.copy(taken = TakenAddress(address, now + TAKEN_ADDRESS_LIFETIME_MILLISECONDS)))
     record(EntryDecisionEvent.UPSTREAM_EXCLUDED, "upstream" to name, "reason" to "another upstream has its address")
 }
 
@@ -136,7 +136,7 @@
 
 internal fun Reduction.upstreamAnswered(name: String) {
     val observation = state.membership.observed[name] ?: return
-    if (observation.excluded == null) observe(name, Observation(takenAddress = observation.takenAddress))
+    if (observation.excluded == null) forgetFailures(name, observation)
 }
 
 internal fun Reduction.exclude(
@@ -157,7 +157,7 @@
     val observation = state.membership.observed[name] ?: return
     val exclusion = observation.excluded ?: return
     if (reachable) {
-        observe(name, Observation(takenAddress = observation.takenAddress))
+        forgetFailures(name, observation)
         return record(EntryDecisionEvent.UPSTREAM_RETURNED, "upstream" to name)
     }
     val backoff = minOf(exclusion.backoff * 2, LONGEST_BACKOFF_MILLISECONDS)
@@ -175,6 +175,7 @@
         membership { it.copy(noticesSentAt = now) }
         sendLeavingNotices()
     }
+    releaseTakenAddresses()
     membership.observed.forEach { (name, observation) -> observation.excluded?.let { probe(name, observation, it) } }
 }
 
@@ -208,6 +209,20 @@
     emit(EntryEffect.ProbeUpstream(name, upstream.address))
 }
 
+private fun Reduction.forgetFailures(
+    name: String,
+    observation: Observation,
+) {
+    if (observation.taken != null) return observe(name, Observation(taken = observation.taken))
+    membership { it.copy(observed = it.observed.remove(name)) }
+}
+
+/** Tries an upstream again for which the platform's list still shows the address that another one had. */
+private fun Reduction.releaseTakenAddresses() =
+    state.membership.observed
+        .filterValues { observation -> observation.taken?.let { it.until <= now } == true }
+        .forEach { (name, observation) -> observe(name, observation.copy(taken = null)) }
+
 /** Forgets upstreams that are no longer configured. */
 internal fun Reduction.pruneMembership() {
     val names =
@@ -231,6 +246,8 @@
     state = state.copy(membership = change(state.membership))
 }
 
+// The platform lists an upstream that has ended for some seconds more.
+private const val TAKEN_ADDRESS_LIFETIME_MILLISECONDS = 10_000L
 private const val LOST_ANSWERS_TO_EXCLUDE = 3
 private const val FIRST_PROBE_MILLISECONDS = 1_000L
 private const val LONGEST_BACKOFF_MILLISECONDS = 30_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
@@ -26,14 +26,20 @@
 )
 
 /**
- * The failures of an upstream that this entry observed. [excluded] is set while it gets no work and is probed.
- * [takenAddress] is the address at which another upstream answered in its place.
+ * The failures of an upstream that this entry observed. [excluded] is set while it gets no work and is probed, and
+ * [taken] after another upstream answered in its place.
  */
 internal data class Observation(
     val connectFailures: Int = 0,
     val lostAnswers: Int = 0,
     val excluded: Exclusion? = null,
-    val takenAddress: String? = null,
+    val taken: TakenAddress? = null,
+)
+
+/** An address at which the upstream gets no work before [until]. */
+internal data class TakenAddress(
+    val address: String,
+    val until: Long,
 )
 
 /** [backoff] is the pause before the probe at [nextProbeAt]; [probing] is set while a probe is running. */
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
@@ -138,6 +138,16 @@
         assertTrue(gone.upstream in later, "the upstream is not used at its new address")
     }
 
+    /** Guards against an upstream that is never used again because the list was late with a new address of it. */
+    @Test
+    fun `an upstream whose address was taken is tried again after a while`() {
+        val gone = scenario.stream(1, RESUMABLE).start()
+        scenario.end(gone.attemptNumber, AttemptEnd.Misdirected)
+        scenario.pass(10_500)
+        val later = (10L..13L).map { scenario.stream(it, RESUMABLE).start().upstream }
+        assertTrue(gone.upstream in later, "the upstream is never used again")
+    }
+
     /** Guards against refusals while most upstreams work, because several others refuse connections. */
     @Test
     fun `a request goes on to other upstreams while connections are refused at once`() {
