--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -15,9 +15,7 @@
  * engine has more prefill to do than the part itself.
  *
  * The prefill of a long prompt delays the tokens of all other requests on the engine. Some engines of each zone are
- * therefore kept for short prompts, whose callers wait for the next word. They are few, so the entry also estimates what
- * all entries together run on them: it assumes that the others send what it sends itself. Where that fills the slots,
- * prompts go to the other engines.
+ * therefore kept for short prompts, whose callers wait for the next word.
  */
 internal class PromptDelays(
     private val state: RouterState,
@@ -27,8 +25,6 @@
     private val candidates = state.candidates[work.target]
     private val isLong = work.promptTokens >= LONG_PROMPT_TOKENS
     private val preferred = preferredEngine()
-    private val ownOnShort = ownAttempts(forShort = true)
-    private val ownOnLong = ownAttempts(forShort = false)
 
     fun delay(name: String): Double {
         val upstream = state.upstreams.getValue(name)
@@ -36,33 +32,9 @@
         return (upstream.pendingPrefillTokens + prefillTokens) / PREFILL_TOKENS_PER_MILLISECOND +
             ROUND_TRIP_MILLISECONDS[upstream.distance.ordinal] +
             upstream.ownAttempts * MILLISECONDS_PER_RUNNING_REQUEST +
-            promptLengthPenalty(name) +
-            slotWait(name, upstream)
+            promptLengthPenalty(name)
     }
 
-    /**
-     * How long a request would wait for a slot. The entry's own requests, spread evenly over the engines for prompts of one
-     * length, stand for those of each other entry.
-     */
-    private fun slotWait(
-        name: String,
-        upstream: UpstreamState,
-    ): Double {
-        val forShort = candidates?.isForShortPrompts(name) ?: return 0.0
-        val own = if (forShort) ownOnShort else ownOnLong
-        val perEngine =
-            own.toDouble() * state.liveEntries / candidates.count(upstream.settings.availabilityZone, forShort)
-        val beyondSlots = perEngine + 1 - upstream.slots * FULL_OCCUPANCY
-        return beyondSlots.coerceAtLeast(0.0) * MILLISECONDS_PER_WAITING_REQUEST
-    }
-
-    private fun ownAttempts(forShort: Boolean): Int =
-        candidates?.let { known ->
-            known.all.sumOf {
-                if (known.isForShortPrompts(it) == forShort) state.upstreams.getValue(it).ownAttempts else 0
-            }
-        } ?: 0
-
     private fun holds(name: String): Boolean {
         if (name == preferred) return true
         val parts = work.prefixBlocks.size
@@ -107,12 +79,6 @@
         /** The time that one more running request adds to a usual answer, which takes a hundred steps. */
         const val MILLISECONDS_PER_RUNNING_REQUEST = 16.0
 
-        /** Requests are spread unevenly, so some engines are full when their mean is at this share of the slots. */
-        const val FULL_OCCUPANCY = 0.8
-
-        /** An answer of two seconds on an engine with 24 slots frees one of them in this time. */
-        const val MILLISECONDS_PER_WAITING_REQUEST = 80.0
-
         /**
          * The pauses that long prompts cause in a short answer cost its caller more than the round trip to another
          * region.
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -305,17 +305,6 @@
             .values
             .flatMapTo(HashSet()) { shortPromptEngines(it) }
 
-    private val counts =
-        states
-            .groupingBy { it.settings.availabilityZone to (it.settings.name in forShortPrompts) }
-            .eachCount()
-
-    /** How many engines of the zone are kept for short prompts, or how many are not. */
-    fun count(
-        availabilityZone: String,
-        forShort: Boolean,
-    ): Int = counts[availabilityZone to forShort] ?: 0
-
     fun at(distance: Distance): List<String> = byDistance[distance.ordinal]
 
     fun isForShortPrompts(name: String): Boolean = name in forShortPrompts
