Do not copy an unfinished event again for each chunk of a stream

Cause: EventFramer joined the unfinished event with each chunk and searched all of it again, up to 1 MB, so its work grew with the square of the event. The event loop was too busy to cancel the attempt at its deadline, and all callers of the entry share that loop.

Change: the buffer doubles when it is full, and only new bytes are searched.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
@@ -8,7 +8,10 @@
 internal class EventFramer(
     private val framing: StreamFraming = StreamFraming.CompletionEvents,
 ) {
-    private var incomplete = ByteArray(0)
+    private var buffer = ByteArray(0)
+
+    // The buffered bytes belong to one event that is not complete.
+    private var buffered = 0
     private var lastLine = ""
 
     /** The number of events with text or, in numbered streams, with an identifier. Engines send one event per token. */
@@ -23,20 +26,29 @@
     val done: Boolean get() = framing != StreamFraming.CompletionEvents || lastLine.trim() == "data: [DONE]"
 
     fun accept(bytes: ByteArray): ByteArray {
-        val all = if (incomplete.isEmpty()) bytes else incomplete + bytes
-        val end = endOfCompleteEvents(all)
-        if (end == 0 && all.size <= MAXIMUM_EVENT_BYTES) {
-            incomplete = all
-            return ByteArray(0)
-        }
-        val cut = if (end == 0) all.size else end
-        incomplete = all.copyOfRange(cut, all.size)
-        val complete = if (cut == all.size) all else all.copyOfRange(0, cut)
-        inspect(complete)
-        return complete
+        val searched = buffered
+        append(bytes)
+        val end = endOfCompleteEvents(searched)
+        if (end == 0 && buffered <= MAXIMUM_EVENT_BYTES) return ByteArray(0)
+        return take(if (end == 0) buffered else end).also(::inspect)
+    }
+
+    fun remainder(): ByteArray = take(buffered)
+
+    /** Doubles the buffer when it is full, so that many small chunks are not copied again for each one. */
+    private fun append(bytes: ByteArray) {
+        val needed = buffered + bytes.size
+        if (needed > buffer.size) buffer = buffer.copyOf(maxOf(needed, 2 * buffer.size))
+        bytes.copyInto(buffer, buffered)
+        buffered = needed
     }
 
-    fun remainder(): ByteArray = incomplete.also { incomplete = ByteArray(0) }
+    private fun take(count: Int): ByteArray {
+        val taken = buffer.copyOfRange(0, count)
+        buffer = buffer.copyOfRange(count, buffered)
+        buffered = buffer.size
+        return taken
+    }
 
     private fun inspect(events: ByteArray) {
         val text = events.decodeToString()
@@ -63,9 +75,10 @@
         }
     }
 
-    private fun endOfCompleteEvents(bytes: ByteArray): Int {
-        for (index in bytes.size - 1 downTo 1) {
-            if (bytes[index] == LINE_FEED && endsLine(bytes, index - 1)) return index + 1
+    /** Searches the buffer from [searched] on. */
+    private fun endOfCompleteEvents(searched: Int): Int {
+        for (index in buffered - 1 downTo maxOf(1, searched)) {
+            if (buffer[index] == LINE_FEED && endsLine(buffer, index - 1)) return index + 1
         }
         return 0
     }
