Log the open and unanswered connections of an entry that closes its ports

Whether a request that ends without an answer at a stop met a connection that was left open, a request that was still arriving or an answer that was not flushed could not be told from the log. No decision changes.

--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerConnection.kt
@@ -0,0 +1,44 @@
+package hawthorncrank.entry.internal
+
+import io.netty.channel.ChannelDuplexHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPromise
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.LastHttpContent
+
+/** One connection of a caller. Counts the requests whose head was read and whose answer was not yet written to the socket. */
+internal class CallerConnection(
+    private val opened: (CallerConnection) -> Unit,
+    private val closed: (CallerConnection) -> Unit,
+) : ChannelDuplexHandler() {
+    /** Written on the event loop of the connection only. */
+    @Volatile var unanswered = 0
+        private set
+
+    override fun handlerAdded(context: ChannelHandlerContext) = opened(this)
+
+    override fun handlerRemoved(context: ChannelHandlerContext) = closed(this)
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        if (message is HttpRequest) unanswered++
+        super.channelRead(context, message)
+    }
+
+    override fun write(
+        context: ChannelHandlerContext,
+        message: Any,
+        promise: ChannelPromise,
+    ) {
+        if (!endsAnswer(message)) return super.write(context, message, promise)
+        super.write(context, message, promise.unvoid().addListener { unanswered-- })
+    }
+
+    private fun endsAnswer(message: Any): Boolean =
+        message is LastHttpContent &&
+            !(message is HttpResponse && message.status().codeClass() == HttpStatusClass.INFORMATIONAL)
+}
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -72,6 +72,7 @@
             log,
             { stopping },
         )
+    private val connections = CallerConnections()
     private val operations = OperationsServer(metrics) { readiness }
     private val servers = mutableListOf<DisposableServer>()
 
@@ -118,6 +119,11 @@
         links.updateControlAddresses(addresses)
 
     override fun close() {
+        log.record(
+            EntryEventCode.CLOSING,
+            "connections" to connections.open,
+            "unanswered" to connections.unanswered,
+        )
         polls.close()
         listPolls?.close()
         links.close()
@@ -150,18 +156,27 @@
 
     private fun openHttp(file: String): Result<Unit, SettingsFailure> {
         val tls = settings.tlsCertificate?.let { TlsFiles(it, settings.tlsKey.orEmpty()) }
-        return openPort(file, "http_address", settings.httpAddress, limits.port, tls, callers::handle)
+        return openPort(file, "http_address", settings.httpAddress, limits.port, tls, connections, callers::handle)
             .map { servers += it }
     }
 
     private fun openOperations(file: String): Result<Unit, SettingsFailure> =
-        openPort(file, "operations_address", settings.operationsAddress, limits.port, null, operations::handle)
-            .map { servers += it }
+        openPort(
+            file,
+            "operations_address",
+            settings.operationsAddress,
+            limits.port,
+            tls = null,
+            handler = operations::handle,
+        ).map { servers += it }
 
     /** Serves the operations pages on a second address, for networks where only the load balancer reaches the first. */
     private fun openMetrics(file: String): Result<Unit, SettingsFailure> {
         val address = settings.metricsAddress ?: return Ok(Unit)
-        return openPort(file, "metrics_address", address, limits.port, null, operations::handle).map { servers += it }
+        return openPort(file, "metrics_address", address, limits.port, tls = null, handler = operations::handle).map {
+            servers +=
+                it
+        }
     }
 
     private fun listenFailure(
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/HttpPorts.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/HttpPorts.kt
@@ -22,13 +22,17 @@
     val key: String,
 )
 
-/** Opens an HTTP port with the common limits. [key] is the setting that error messages name. */
+/**
+ * Opens an HTTP port with the common limits. [key] is the setting that error messages name. [connections], if given,
+ * tracks the connections of the port.
+ */
 internal fun openPort(
     file: String,
     key: String,
     address: String,
     limits: PortLimits,
     tls: TlsFiles?,
+    connections: CallerConnections? = null,
     handler: HttpHandler,
 ): Result<DisposableServer, SettingsFailure> {
     val plain =
@@ -40,6 +44,7 @@
             .doOnChannelInit { _, channel, _ ->
                 val headHandler = RequestHeadHandler(limits.headMilliseconds, limits.idleMilliseconds)
                 channel.pipeline().addAfter(NettyPipeline.HttpCodec, "connectionGuard", headHandler)
+                connections?.let { channel.pipeline().addAfter(NettyPipeline.HttpCodec, "connection", it.handler()) }
             }.handle(handler)
     return try {
         Ok(withTls(plain, tls).bindNow())
