Close callers' connections before a stopping entry shuts down

Cause: disposing of the port closed the listening socket only. The accepted connections lived on while the links, the control thread and the log were closed, and ended with the process. A request that was read in that time had nobody to decide on it.

Evidence: 'a kept connection is closed before the process ends' failed with a read timeout 5 s after the entry closed.

Change: when an entry begins to refuse because of a stop, it closes its idle connections, and each of the others after its answer. When no request is left, it closes the port, refuses what still arrives on open connections, and waits until they are closed, for at most 1 s, before it closes anything that a request needs.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
@@ -89,8 +89,14 @@
     ) : EntryEffect
 
     /**
-     * No request is in flight after a requested stop. The process refuses requests that it has not passed to the
-     * reducer yet with [Refusal.Stopping], and flushes its output before it exits.
+     * New requests are refused from now on because of a stop. Closing a connection without a request sends its caller to
+     * another entry at once; the others are closed after their answer.
+     */
+    data object CloseIdleConnections : EntryEffect
+
+    /**
+     * No request is in flight after a requested stop. Requests that still arrive are refused with [Refusal.Stopping];
+     * the process exits when no caller is connected any more.
      */
     data object Terminate : EntryEffect
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/StopState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/StopState.kt
@@ -4,6 +4,7 @@
 internal data class StopState(
     val requested: Boolean = false,
     val requestedAt: Long = 0,
+    val idleConnectionsClosed: Boolean = false,
     val idleSince: Long? = null,
     val terminated: Boolean = false,
 )
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
@@ -20,6 +20,12 @@
 internal fun Reduction.refusesAfterStop(): Boolean =
     state.stop.requested && now - state.stop.requestedAt >= settings.behaviour.acceptAfterStop
 
+internal fun Reduction.closeIdleConnectionsWhenRefusing() {
+    if (state.stop.idleConnectionsClosed || !refusesAfterStop()) return
+    state = state.copy(stop = state.stop.copy(idleConnectionsClosed = true))
+    emit(EntryEffect.CloseIdleConnections)
+}
+
 internal fun Reduction.terminateWhenIdle() {
     val stop = state.stop
     if (!refusesAfterStop() || stop.terminated) return
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/LifecycleTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/LifecycleTest.kt
@@ -45,6 +45,20 @@
         assertEquals(1, scenario.pass(2_000).of<EntryEffect.Terminate>().size)
     }
 
+    @Test
+    fun `idle connections are closed once, when new requests begin to be refused`() {
+        val scenario = RoutedScenario()
+        val stopped = scenario.send(EntryEvent.StopRequested) + scenario.pass(2_900)
+        assertFalse(EntryEffect.CloseIdleConnections in stopped)
+        val refusing = scenario.pass(200)
+        assertEquals(1, refusing.count { it == EntryEffect.CloseIdleConnections })
+        assertTrue(
+            refusing.indexOf(EntryEffect.CloseIdleConnections) < refusing.indexOf(EntryEffect.Terminate),
+            refusing.toString(),
+        )
+        assertFalse(EntryEffect.CloseIdleConnections in scenario.pass(1_000))
+    }
+
     @Test
     fun `decisions on the newest requests are explained and those on old requests are discarded`() {
         val scenario = Scenario()
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerConnection.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerConnection.kt
@@ -17,7 +17,24 @@
     @Volatile var unanswered = 0
         private set
 
-    override fun handlerAdded(context: ChannelHandlerContext) = opened(this)
+    private lateinit var context: ChannelHandlerContext
+    private var closesAfterAnswer = false
+
+    /** Closes the connection once it has no request without a complete answer. */
+    fun closeWhenAnswered() =
+        context.executor().execute {
+            closesAfterAnswer = true
+            closeIfAnswered()
+        }
+
+    fun closeNow() {
+        context.close()
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+        opened(this)
+    }
 
     override fun handlerRemoved(context: ChannelHandlerContext) = closed(this)
 
@@ -35,7 +52,16 @@
         promise: ChannelPromise,
     ) {
         if (!endsAnswer(message)) return super.write(context, message, promise)
-        super.write(context, message, promise.unvoid().addListener { unanswered-- })
+        super.write(context, message, promise.unvoid().addListener { answered() })
+    }
+
+    private fun answered() {
+        unanswered--
+        closeIfAnswered()
+    }
+
+    private fun closeIfAnswered() {
+        if (closesAfterAnswer && unanswered == 0) context.close()
     }
 
     private fun endsAnswer(message: Any): Boolean =
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
@@ -16,6 +16,7 @@
     private val refusals: RefusalFormat,
     private val applyConfiguration: (ConfigurationView) -> Unit,
     private val setReadiness: (Readiness) -> Unit,
+    private val closeIdleConnections: () -> Unit,
     private val terminate: () -> Unit,
 ) {
     fun execute(effect: EntryEffect) {
@@ -35,6 +36,7 @@
             is EntryEffect.ProbeUpstream -> polls.probe(effect.upstream, effect.address)
             is EntryEffect.ConfigurationApplied -> apply(effect)
             is EntryEffect.ReadinessChanged -> ready(Readiness(effect.ready, effect.reason))
+            EntryEffect.CloseIdleConnections -> closeIdleConnections()
             EntryEffect.Terminate -> terminate()
             is EntryEffect.RecordEvent -> log.record(effect.event, effect.fields)
             is EntryEffect.Measure -> metrics.record(effect.measurement)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
@@ -28,4 +28,5 @@
     EVENTS_DELAYED(1016, Level.WARN, "events wait for the control thread"),
     STREAM_ENDED_INSIDE_EVENT(1017, Level.INFO, "a stream from an upstream ended inside an event"),
     CLOSING(1018, Level.INFO, "entry closes its ports"),
+    ANSWERS_CUT(1019, Level.WARN, "connections closed before their requests were answered"),
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -55,6 +55,7 @@
             callerInterface.refusals,
             ::apply,
             { readiness = it },
+            { connections.closeWhenAnswered() },
             ::finishWhenNoRequestsAreOpen,
         )
 
@@ -124,6 +125,7 @@
             "connections" to connections.open,
             "unanswered" to connections.unanswered,
         )
+        closeCallerConnections()
         polls.close()
         listPolls?.close()
         links.close()
@@ -132,6 +134,24 @@
         keys.close()
     }
 
+    /** Requests that arrive until their connection is closed are refused, so the control thread must still run. */
+    private fun closeCallerConnections() {
+        servers.getOrNull(HTTP)?.disposeNow(Duration.ofSeconds(1))
+        if (stopping) awaitAnswers()
+        val unanswered = connections.unanswered
+        if (stopping && unanswered > 0) log.record(EntryEventCode.ANSWERS_CUT, "connections" to unanswered)
+        connections.closeNow()
+    }
+
+    private fun awaitAnswers() {
+        Flux
+            .interval(Duration.ZERO, DRAIN_CHECK_INTERVAL)
+            .take(LAST_ANSWERS_LIMIT)
+            .doOnNext { connections.closeWhenAnswered() }
+            .takeUntil { connections.open == 0 }
+            .blockLast()
+    }
+
     // The control thread does not know requests whose bodies are still arriving; they are refused before the stop ends.
     private fun finishWhenNoRequestsAreOpen() {
         Flux
@@ -198,6 +218,9 @@
         const val HTTP = 0
         const val OPERATIONS = 1
         val DRAIN_CHECK_INTERVAL: Duration = Duration.ofMillis(10)
+
+        // A caller that does not read its answer must not keep the process from ending.
+        val LAST_ANSWERS_LIMIT: Duration = Duration.ofSeconds(1)
         const val REQUEST_NUMBERS_PER_MILLISECOND = 1_000L
     }
 }
