Do not apply the idle limit to connections with a request in progress

What callers saw: a request that was sent while the one before it was being answered, or that asked for permission to send its body (Expect: 100-continue), lost its connection without an answer 75 s after that, although an upstream was working on it.

Cause: the idle limit was started by every last part of an answer. The interim answer is a whole message, so it started the limit too, and the answer to one request started it while the next one on the connection was in progress.

Evidence: both tests of IdleLimitTest failed with "the connection was closed without an answer".

Change: the limit starts when no request of the connection is unanswered. Both tests pass.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerConnection.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerConnection.kt
@@ -4,9 +4,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
-import io.netty.handler.codec.http.LastHttpContent
 
 /** One connection of a caller. Counts the requests whose head was read and whose answer was not yet written to the socket. */
 internal class CallerConnection(
@@ -63,8 +60,4 @@
     private fun closeIfAnswered() {
         if (closesAfterAnswer && unanswered == 0) context.close()
     }
-
-    private fun endsAnswer(message: Any): Boolean =
-        message is LastHttpContent &&
-            !(message is HttpResponse && message.status().codeClass() == HttpStatusClass.INFORMATIONAL)
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestHeadHandler.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestHeadHandler.kt
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
@@ -22,6 +21,7 @@
     private val idleMilliseconds: Long,
 ) : ChannelDuplexHandler() {
     private var deadline: ScheduledFuture<*>? = null
+    private var unanswered = 0
 
     override fun handlerAdded(context: ChannelHandlerContext) = expectHead(context, headMilliseconds)
 
@@ -33,7 +33,10 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        if (message is HttpRequest) deadline?.cancel(false)
+        if (message is HttpRequest) {
+            unanswered++
+            deadline?.cancel(false)
+        }
         super.channelRead(context, message)
     }
 
@@ -42,7 +45,7 @@
         message: Any,
         promise: ChannelPromise,
     ) {
-        if (message is LastHttpContent) expectHead(context, idleMilliseconds)
+        if (endsAnswer(message) && --unanswered == 0) expectHead(context, idleMilliseconds)
         val outgoing = if (message is FullHttpResponse) addProblemBody(message) else message
         super.write(context, outgoing, promise)
     }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/KeptConnection.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/KeptConnection.kt
@@ -10,24 +10,18 @@
     private val socket = Socket("127.0.0.1", port).apply { soTimeout = READ_LIMIT_MILLISECONDS }
     private val input: InputStream = socket.getInputStream().buffered()
 
-    fun send(
-        body: String = EntryFixture.UNSTREAMED_CHAT,
-        path: String = "/v1/chat/completions",
-    ) {
-        val head =
-            listOf(
-                "POST $path HTTP/1.1",
-                "Host: 127.0.0.1",
-                "Authorization: Bearer ${EntryFixture.KEY}",
-                "Content-Length: ${body.toByteArray().size}",
-            ).joinToString("\r\n", postfix = "\r\n\r\n")
-        socket.getOutputStream().write((head + body).toByteArray())
-        socket.getOutputStream().flush()
+    fun send(body: String = EntryFixture.UNSTREAMED_CHAT) = write(head(body) + "\r\n" + body)
+
+    /** Sends [body] after the entry's interim answer, as `Expect: 100-continue` announces. */
+    fun sendWhenAsked(body: String = EntryFixture.UNSTREAMED_CHAT) {
+        write(head(body) + "Expect: 100-continue\r\n\r\n")
+        check(readHead().first().split(' ')[1] == "100") { "no interim answer" }
+        write(body)
     }
 
     /** Reads an answer that has a length, and returns its status. */
     fun status(): Int {
-        val head = generateSequence(::line).takeWhile { it.isNotEmpty() }.toList()
+        val head = readHead()
         val length = head.first { it.startsWith("content-length:", ignoreCase = true) }.substringAfter(':').trim()
         input.readNBytes(length.toInt())
         return head.first().split(' ')[1].toInt()
@@ -36,6 +30,21 @@
     /** Reads everything that arrives until the entry closes the connection. */
     fun rest(): String = input.readAllBytes().decodeToString()
 
+    private fun head(body: String) =
+        listOf(
+            "POST /v1/chat/completions HTTP/1.1",
+            "Host: 127.0.0.1",
+            "Authorization: Bearer ${EntryFixture.KEY}",
+            "Content-Length: ${body.toByteArray().size}",
+        ).joinToString("\r\n", postfix = "\r\n")
+
+    private fun write(text: String) {
+        socket.getOutputStream().write(text.toByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    private fun readHead(): List<String> = generateSequence(::line).takeWhile { it.isNotEmpty() }.toList()
+
     private fun line(): String {
         val line = StringBuilder()
         while (true) {
