Keep the control thread alive after an error in the reducer

What callers saw: after one stack overflow in the reducer, each later request waited without an answer until its caller gave up, while /readyz and /healthz went on saying 200 and a stop never finished.

Cause: the control thread caught exceptions only, so an Error ended it.

Evidence: 'an error on one request does not end the control thread' failed with "SocketTimeoutException: Read timed out".

Change: nothing thrown by the reducer or by an effect ends the thread. The state is immutable, so the one before the event is intact. The failure is logged as before (1009, 1010).

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
@@ -72,12 +72,13 @@
         return queued.event
     }
 
-    // An exception in the reducer must not end the thread: the previous state is kept and other requests continue.
+    // Nothing thrown by the reducer may end the thread, not even a stack overflow: the previous state, which is immutable,
+    // is kept, and other requests continue.
     private fun reduce(event: EntryEvent) {
         val transition =
             try {
                 reducer.reduce(state, event, clock.now())
-            } catch (failure: RuntimeException) {
+            } catch (failure: Throwable) {
                 log.record(EntryEventCode.REDUCER_FAILED, "decided" to event.javaClass.simpleName, "error" to failure)
                 return
             }
@@ -85,7 +86,7 @@
         transition.effects.forEach { effect ->
             try {
                 execute(effect)
-            } catch (failure: RuntimeException) {
+            } catch (failure: Throwable) {
                 log.record(EntryEventCode.EFFECT_FAILED, "effect" to effect.javaClass.simpleName, "error" to failure)
             }
         }
