Answer a request whose arrival the entry failed to process

What callers saw: a request on whose arrival the reducer failed got no answer at all, and the entry could not stop while its caller waited.

Cause: the event was dropped after it had been logged (1009). The state did not contain the request, so neither a deadline nor a stop ended it.

Evidence: 'a request whose arrival fails in the reducer is answered' failed with "SocketTimeoutException: Read timed out", and 'a request that failed in the reducer does not keep the entry from stopping' with "Expected value to be true".

Change: the control thread reports an event that could not be processed, and the entry refuses a request that arrived with it. Nothing was started for such a request, so "not run" is true.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
@@ -138,6 +138,14 @@
         override val remedy = "send the request again; the load balancer chooses another entry"
     }
 
+    data object NotProcessed : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val retryAfterMilliseconds = 1_000L
+        override val problem = "this entry failed to process the request"
+        override val remedy = "send the request again; operators find the failure in the entry's log (event 1009)"
+    }
+
     data object Stopping : Refusal {
         override val status = 503
         override val outcome = StatedOutcome.NOT_RUN
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
@@ -11,7 +11,8 @@
 /**
  * The single thread that runs the reducer. It takes events in order of arrival, reduces each one with the time at which
  * it was taken, and executes the resulting effects. It also generates [EntryEvent.Tick], even while events are queued.
- * [measureDelay] gets the milliseconds that each event waited in the queue.
+ * [measureDelay] gets the milliseconds that each event waited in the queue, and [failed] each event that the reducer could
+ * not process.
  */
 internal class ControlThread<State>(
     private val reducer: Reducer<State, EntryEvent, EntryEffect>,
@@ -19,6 +20,7 @@
     private val clock: MillisecondClock,
     private val log: EventLog,
     private val measureDelay: (Long) -> Unit,
+    private val failed: (EntryEvent) -> Unit,
     private val execute: (EntryEffect) -> Unit,
 ) : AutoCloseable {
     private val queue = LinkedBlockingQueue<QueuedEvent>()
@@ -80,7 +82,7 @@
                 reducer.reduce(state, event, clock.now())
             } catch (failure: Throwable) {
                 log.record(EntryEventCode.REDUCER_FAILED, "decided" to event.javaClass.simpleName, "error" to failure)
-                return
+                return failed(event)
             }
         state = transition.state
         transition.effects.forEach { effect ->
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -16,6 +16,7 @@
 import hawthorncrank.entry.RoutedTraffic
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.core.Refusal
 import hawthorncrank.entry.firstFailure
 import hawthorncrank.link.LinkFailure
 import reactor.core.publisher.Flux
@@ -36,7 +37,9 @@
 ) : Entry {
     private val metrics = EntryMetrics()
     private val control: ControlThread<State> =
-        ControlThread(reducer, initial, clock, log, { metrics.recordControlDelay(it) }) { effects.execute(it) }
+        ControlThread(reducer, initial, clock, log, {
+            metrics.recordControlDelay(it)
+        }, ::refuseAfterFault) { effects.execute(it) }
     private val activeExchanges = ActiveExchanges(client, clock::now, control::send)
     private val keys = ApiKeyAuthenticator(verify)
     private val callerInterface =
@@ -160,6 +163,13 @@
             .subscribe({}, {}, { finished() })
     }
 
+    /** The state does not contain a request whose arrival could not be processed, so nothing was started for it. */
+    private fun refuseAfterFault(event: EntryEvent) {
+        if (event !is EntryEvent.RequestArrived) return
+        val answer = callerInterface.refusals.refusal(Refusal.NotProcessed)
+        activeExchanges.exchange(event.request.number)?.refuse(answer, Refusal.NotProcessed.problem)
+    }
+
     /**
      * In routed mode a rejection is final only while the configuration is confirmed to be the newest. Readiness implies
      * this, except while the entry stops.
