Close a connection whose answer belongs to another request

Callers: an engine wrote an earlier refusal once more where the answer to the next request was due. That request got 502, and so did the ones after it on the same connection, each with the answer to the request before. Idempotent requests were sent again over that connection, up to their deadline. With a refusal that fits (without an identifier, or with that of the same request) these answers were taken for "not run".

Cause: the pool takes a connection back when its answer is complete, on the connection's event loop. The attempt compares the identifier on the caller's event loop and then cancels; a short answer is complete by then, and the cancellation has no effect.

Change: the client classifies the answer on the connection's event loop and marks the connection as not reusable if the answer belongs to another request. The outcome of the request stays unknown: no 503, and no second attempt unless it is idempotent. Event 1020 names the request, the upstream and the status of an answer that was not passed on.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -110,6 +110,7 @@
                 return endNotRun(AttemptEnd.Rejected(reply.retryAfterMilliseconds), arrived)
             UpstreamReply.Misdirected -> return endNotRun(AttemptEnd.Misdirected, arrived)
             UpstreamReply.Mismatched -> {
+                owner.answerNotUsed(this, arrived, reply)
                 end(AttemptEnd.Broken(0, 0))
                 return cancel()
             }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
@@ -27,4 +27,5 @@
     UPSTREAM_LIST_RESTORED(1015, Level.INFO, "the platform's list of upstreams can be read again"),
     EVENTS_DELAYED(1016, Level.WARN, "events wait for the control thread"),
     STREAM_ENDED_INSIDE_EVENT(1017, Level.INFO, "a stream from an upstream ended inside an event"),
+    ANSWER_NOT_USED(1020, Level.INFO, "an upstream's answer was not passed on"),
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -142,6 +142,19 @@
         "error" to failure,
     )
 
+    fun answerNotUsed(
+        attempt: Attempt,
+        head: UpstreamSignal.Head,
+        reply: UpstreamReply,
+    ) = log.record(
+        EntryEventCode.ANSWER_NOT_USED,
+        "request" to number,
+        "attempt" to attempt.number,
+        "upstream" to attempt.effect.upstream,
+        "status" to head.status,
+        "reason" to reply.toString().lowercase(),
+    )
+
     fun streamEndedInsideEvent(
         attempt: Attempt,
         unfinishedBytes: Int,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry.internal
 
+import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.EntryEffect
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelOption
@@ -7,7 +8,9 @@
 import io.netty.handler.codec.http.HttpHeaders
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
+import reactor.netty.Connection
 import reactor.netty.http.client.HttpClient
+import reactor.netty.http.client.HttpClientResponse
 import reactor.netty.resources.ConnectionProvider
 import java.time.Duration
 
@@ -25,7 +28,8 @@
 
 /**
  * Sends one request and returns its answer with back-pressure. It never retries: the control thread decides whether a
- * request may be sent again.
+ * request may be sent again. A connection with an answer to another request is closed, because each later answer on it
+ * may belong to an earlier request too.
  */
 internal fun interface UpstreamClient {
     /** [sent] is called before the first byte of the request leaves this process. */
@@ -56,6 +60,7 @@
             .disableRetry(true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
             .doOnRequest { _, _ -> sent() }
+            .doOnResponse { response, connection -> closeIfMismatched(response, connection, request.format) }
             .headers { headers -> setHeaders(headers, attempt, request, content) }
             .request(request.method)
             .uri("http://${attempt.address}${request.uri}")
@@ -67,6 +72,16 @@
     }
 }
 
+/** The pool takes a connection back once its answer has arrived, which may be before the attempt has read the head. */
+private fun closeIfMismatched(
+    response: HttpClientResponse,
+    connection: Connection,
+    format: ExchangeFormat,
+) {
+    val reply = format.classifyReply(response.status().code(), response.responseHeaders())
+    if (reply == UpstreamReply.Mismatched) connection.markPersistent(false)
+}
+
 private fun setHeaders(
     headers: HttpHeaders,
     attempt: EntryEffect.StartAttempt,
--- /dev/null
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RepeatedRefusalTest.kt
@@ -0,0 +1,88 @@
+package hawthorncrank.entry.internal
+
+import hawthorncrank.entry.UpstreamReply
+import hawthorncrank.entry.internal.RoutedEntryFixture.IDENTIFIER_HEADER
+import hawthorncrank.protocol.Repetition
+import hawthorncrank.protocol.RequestRoute
+import io.netty.handler.codec.http.HttpHeaders
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Guards against an earlier refusal that an upstream writes once more on a kept connection. */
+class RepeatedRefusalTest {
+    private val idempotent = route("/idempotent/", Repetition.IDEMPOTENT)
+    private val atMostOnce = route("/once/", Repetition.AT_MOST_ONCE)
+    private val stream = route("/stream/", Repetition.AT_MOST_ONCE).copy(streamed = true)
+    private val routes = listOf(idempotent, atMostOnce, stream)
+
+    /** Each later answer on such a connection would be the answer to the request before. */
+    @TestFactory
+    fun `a connection with the answer to another request is not used again`() =
+        eachRoute { path ->
+            var earlier = refusal("a")
+            val upstream =
+                KeptConnectionUpstream { call ->
+                    if (call.connection > 1) return@KeptConnectionUpstream answer(call)
+                    earlier.also { earlier = answer(call) }
+                }
+            serving(upstream) { send ->
+                send(path, "a")
+                send(path, "b")
+                val third = send(path, "c")
+                assertEquals(HTTP_OK to event("c"), third.status to third.body)
+                assertEquals(1, upstream.calls.count { it.connection == 1 && it.identifier == "b" })
+            }
+        }
+
+    private fun eachRoute(check: (path: String) -> Unit) =
+        routes.map { DynamicTest.dynamicTest(it.pathPrefix) { check(it.pathPrefix) } }
+
+    private fun serving(
+        upstream: KeptConnectionUpstream,
+        check: (send: (path: String, identifier: String) -> HttpAnswer) -> Unit,
+    ) = upstream.use {
+        val protocol = RoutedEntryFixture.protocol(::classify)
+        RoutedEntryFixture.entry(upstream.port, routes, protocol = protocol).use { entry ->
+            check { path, identifier -> send(entry.httpPort, path, identifier) }
+        }
+    }
+
+    /** Sends the request again until the entry has a configuration. */
+    private fun send(
+        port: Int,
+        path: String,
+        identifier: String,
+    ): HttpAnswer {
+        val headers = listOf("$IDENTIFIER_HEADER: $identifier", "test-time: 4000")
+        return generateSequence { exchange(port, "POST", path, "{}", headers) }
+            .first { "no configuration" !in it.body }
+    }
+
+    private fun classify(
+        identifier: String,
+        status: Int,
+        headers: HttpHeaders,
+    ): UpstreamReply =
+        when {
+            headers.get(IDENTIFIER_HEADER) != identifier -> UpstreamReply.Mismatched
+            status == HTTP_UNAVAILABLE -> UpstreamReply.Rejected(retryAfterMilliseconds = null)
+            else -> UpstreamReply.Accepted
+        }
+
+    private fun refusal(identifier: String) =
+        "HTTP/1.1 503 Service Unavailable\r\n$IDENTIFIER_HEADER: $identifier\r\nContent-Length: 0\r\n\r\n"
+
+    private fun answer(call: KeptConnectionCall): String {
+        val body = event(call.identifier)
+        return "HTTP/1.1 200 OK\r\n$IDENTIFIER_HEADER: ${call.identifier}\r\nContent-Type: text/event-stream\r\n" +
+            "Content-Length: ${body.length}\r\n\r\n$body"
+    }
+
+    private fun event(text: String) = "id: 1\ndata: $text\n\n"
+
+    private fun route(
+        path: String,
+        repetition: Repetition,
+    ): RequestRoute = RoutedEntryFixture.route(path, tier = 1).copy(repetition = repetition, engineAttempts = 2)
+}
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -27,11 +27,13 @@
 import hawthorncrank.routing.ChoiceRule
 import hawthorncrank.routing.RoutingPolicy
 import hawthorncrank.scheduling.SchedulingPolicy
+import io.netty.handler.codec.http.HttpHeaders
 import reactor.core.publisher.Mono
 
 /** Starts an entry with routes that needs neither a control replica nor a platform. */
 internal object RoutedEntryFixture {
     const val PRIORITY_HEADER = "test-priority"
+    const val IDENTIFIER_HEADER = "test-identifier"
     const val LAST_EVENT_HEADER = "test-last-event"
     private const val SERVICE_LEVEL = "level"
     private val settings =
@@ -51,16 +53,24 @@
                 ),
         )
 
-    private val protocol =
+    fun protocol(classifyReply: (String, Int, HttpHeaders) -> UpstreamReply = { _, _, _ -> UpstreamReply.Accepted }) =
         ExchangeProtocol(
             readCallerHeaders = {
-                CallerHeaders("attempt", it.get("test-key"), it.get("test-time")?.toLong(), 100, 10, emptyList(), null)
+                CallerHeaders(
+                    it.get(IDENTIFIER_HEADER, "attempt"),
+                    it.get("test-key"),
+                    it.get("test-time")?.toLong(),
+                    100,
+                    10,
+                    emptyList(),
+                    null,
+                )
             },
             writeUpstreamHeaders = { call ->
                 listOf(PRIORITY_HEADER to call.priority.toString()) +
                     listOfNotNull(call.lastEventIdentifier?.let { LAST_EVENT_HEADER to it })
             },
-            classifyReply = { _, _, _ -> UpstreamReply.Accepted },
+            classifyReply = classifyReply,
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
             formatRetryAfter = { "1" },
@@ -71,6 +81,7 @@
         enginePort: Int,
         routes: List<RequestRoute>,
         organisation: Organisation = organisation(tier = null),
+        protocol: ExchangeProtocol = protocol(),
     ): EntryProcess<EntryState> {
         val process =
             EntryProcess(
