Send a request to the same address again only on a new connection

Callers: a request that an upstream refused was sent there once more, over the same kept connection (the pool hands out the connection used last). The upstream wrote its refusal again while it ran the request. The caller was told 503, "not run, try again"; with attempts left, the request would have gone to another upstream while the first one ran it.

Cause: all attempts of a request carry the identifier that the caller sent, so the copy of the refusal fits the second attempt. Only the connection tells the answers of two attempts apart.

Evidence: RepeatedRefusalTest, `a request that was refused is not refused again by the copy of its refusal`, failed on the idempotent, at-most-once and streamed routes with "expected: <200> but was: <503>". RoutedRequestsTest, `a request goes to the same address again only on a new connection`, failed with "expected: <(false, true)> but was: <(false, false)>".

Change: the reducer remembers the addresses to which a request was sent. An attempt to one of them gets a connection outside the pools, which is closed after the answer. The address counts and not the name, since an address may be listed under another name. Closing every connection with a refusal was the alternative: it costs a connection for each refusal, while a request goes to the upstream that failed it last only if no other is available.

Result: both tests pass. UpstreamClientTest shows that such an attempt gets a new connection and that it is closed; it now records channels instead of their identifiers, with the same assertions. RetriesTest, ClaimsTest, GeneratedHistoriesTest, StreamingTest and TruncatedStreamTest pass. The number of additional connections under load was not measured.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -56,6 +56,7 @@
             attempts = active.attempts + 1,
             startedAt = active.startedAt ?: now,
             upstream = upstream.name,
+            addresses = active.addresses.add(upstream.address),
         )
     update(started)
     recordStart(started, number, priority, resume)
@@ -72,6 +73,8 @@
             claimNumber = active.grantedClaim?.claimNumber,
             resume = resume,
             freshConnection = !request.isIdempotent,
+            // All attempts carry the request's identifier, so only the connection tells their answers apart.
+            newConnection = upstream.address in active.addresses,
         ),
     )
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
@@ -4,7 +4,9 @@
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.ResumePoint
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 
 /** The requests that have no final answer yet. */
 internal data class RequestsState(
@@ -16,7 +18,8 @@
  * the upstream; from then on no refusal may say "not run". [firstByteAt] is when the caller's answer began. [resume] is
  * where the next attempt resumes the stream. [unreached] counts attempts that did not reach their upstream, and
  * [unreachedTime] the milliseconds that they took. [lastUpstream] is
- * the one that failed last, and [upstream] the one to which the request was sent last.
+ * the one that failed last, and [upstream] the one to which the request was sent last. [addresses] are those to which it
+ * was sent so far.
  */
 internal data class ActiveRequest(
     val request: CallerRequest,
@@ -31,6 +34,7 @@
     val deliveredBytes: Long = 0,
     val lastUpstream: String? = null,
     val upstream: String? = null,
+    val addresses: PersistentSet<String> = persistentSetOf(),
     val callerLeft: Boolean = false,
     val resume: ResumePoint? = null,
     val unreached: Int = 0,
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
@@ -30,6 +30,16 @@
         assertEquals(StatedOutcome.NOT_RUN, assertIs<Refusal.Overloaded>(ended.refusal()).outcome)
     }
 
+    /** On the same connection, a repeated answer to the first attempt would be taken for the answer to the second one. */
+    @Test
+    fun `a request goes to the same address again only on a new connection`() {
+        val scenario = RoutedScenario(listOf(listedService("s1")))
+        val start = scenario.call(1, AT_MOST_ONCE.copy(maximumAttempts = 2)).start()
+        val second = scenario.end(start.attemptNumber, AttemptEnd.Rejected(null)).start()
+        assertEquals(false to true, start.newConnection to second.newConnection)
+        assertEquals(false, scenario.call(2, AT_MOST_ONCE).start().newConnection)
+    }
+
     /** An unreachable upstream must not use up the only attempt of a request. */
     @Test
     fun `an attempt that reached no upstream does not count towards the limit`() {
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -54,9 +54,16 @@
 internal fun upstreamClient(nonIdempotentIdleLimit: Duration = NON_IDEMPOTENT_IDLE_LIMIT): UpstreamClient {
     val pool = connections("upstream", IDLE_LIMIT)
     val nonIdempotentPool = connections("upstream-fresh", nonIdempotentIdleLimit)
+    val unpooled = ConnectionProvider.newConnection()
     return UpstreamClient { attempt, request, content, sent ->
+        val connections =
+            when {
+                attempt.newConnection -> unpooled
+                request.idempotent -> pool
+                else -> nonIdempotentPool
+            }
         HttpClient
-            .create(if (request.idempotent) pool else nonIdempotentPool)
+            .create(connections)
             .disableRetry(true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
             .doOnRequest { _, _ -> sent() }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RepeatedRefusalTest.kt
@@ -16,6 +16,14 @@
     private val stream = route("/stream/", Repetition.AT_MOST_ONCE).copy(streamed = true)
     private val routes = listOf(idempotent, atMostOnce, stream)
 
+    /** The copy has the identifier of a request that is sent again, so it fits the run that it arrives in front of. */
+    @TestFactory
+    fun `a request that was refused is not refused again by the copy of its refusal`() =
+        eachRoute { path ->
+            val upstream = KeptConnectionUpstream { if (it.connection == 1) refusal(it.identifier) else answer(it) }
+            serving(upstream) { send -> assertEquals(HTTP_OK, send(path, "a").status) }
+        }
+
     /** Each later answer on such a connection would be the answer to the request before. */
     @TestFactory
     fun `a connection with the answer to another request is not used again`() =
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
@@ -2,19 +2,21 @@
 
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.UpstreamTimeouts
+import io.netty.channel.Channel
 import io.netty.handler.codec.http.HttpMethod
 import reactor.core.publisher.Mono
 import java.time.Duration
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 class UpstreamClientTest {
-    private val connections = CopyOnWriteArrayList<String>()
+    private val connections = CopyOnWriteArrayList<Channel>()
     private val upstream =
         FakeUpstream { request, response, _ ->
-            request.withConnection { connections += it.channel().id().asLongText() }
+            request.withConnection { connections += it.channel() }
             response.sendString(Mono.just("{}"))
         }
 
@@ -38,9 +40,20 @@
         upstream.close()
     }
 
+    /** Guards against an answer that is repeated on the connection of an earlier attempt, and against open connections. */
+    @Test
+    fun `an attempt that needs a new connection gets one, which is closed after the answer`() {
+        val client = upstreamClient()
+        repeat(CALLS) { call(client, idempotent = true, newConnection = true) }
+        assertEquals(CALLS, connections.toSet().size)
+        connections.forEach { assertTrue(it.closeFuture().await(CLOSE_LIMIT_SECONDS, TimeUnit.SECONDS)) }
+        upstream.close()
+    }
+
     private fun call(
         client: UpstreamClient,
         idempotent: Boolean,
+        newConnection: Boolean = false,
     ) {
         val request =
             OutgoingRequest(
@@ -62,6 +75,7 @@
                 deadlineMilliseconds = 900,
                 claimNumber = null,
                 resume = null,
+                newConnection = newConnection,
             )
         client.exchange(attempt, request, AttemptContent(ByteArray(0), null)) {}.collectList().block()
         assertEquals("900", upstream.headers.last()["hawthorncrank-deadline-milliseconds"])
@@ -70,5 +84,6 @@
     private companion object {
         // A connection returns to its pool shortly after the answer, so a single next call may open a new one.
         const val CALLS = 20
+        const val CLOSE_LIMIT_SECONDS = 10L
     }
 }
