Withhold a status that means not run without the upstream's statement

Callers: a 503, 429, 421 or 408 of an upstream that did not state whether it ran the request reached the caller as it came, with "Hawthorncrank-Outcome: ran". On the platform these statuses promise that the request has not run and never will, so callers would send at-most-once requests again. A 421 without the statement was retried or refused as not run.

Cause: the adapter reported such an answer as accepted, and accepted answers are passed on unchanged.

Change: the adapter reports such an answer as one that leaves the outcome unknown. The entry reads it to its end, keeps the connection and treats it like a server error: an idempotent request is sent again, any other gets 502 of the entry without the upstream's headers, since a failure with an upstream's signature has to have the status that the upstream gave. Event 1020 names these answers too.

Result: ExchangeHeadersTest, UnstatedRefusalTest, RepeatedRefusalTest and LoopbackFleetTest pass. RepeatedRefusalTest also covers copies of a refusal that arrive before the next request in full, in part and not at all.

--- a/entry/src/main/kotlin/hawthorncrank/entry/UpstreamReply.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/UpstreamReply.kt
@@ -10,6 +10,12 @@
         val retryAfterMilliseconds: Long?,
     ) : UpstreamReply
 
+    /**
+     * The status would tell the caller that the request did not run, but the upstream does not state it. The request may
+     * have run.
+     */
+    data object OutcomeUnknown : UpstreamReply
+
     /** Another upstream than the expected one answered at the address. It did not process the request. */
     data object Misdirected : UpstreamReply
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
+import hawthorncrank.entry.core.StatedOutcome
 import hawthorncrank.entry.core.TimeoutPhase
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpHeaders
@@ -28,6 +29,7 @@
     private val framer = EventFramer(owner.framing)
     private val collected = ByteArrayOutputStream()
     private var head: UpstreamSignal.Head? = null
+    private var outcomeUnknown = false
     private var streaming = false
     private var firstByteSeen = false
     private var receivedBytes = 0L
@@ -76,7 +78,7 @@
         if (ended) return
         if (streaming && framer.unfinishedBytes > 0) owner.streamEndedInsideEvent(this, framer.unfinishedBytes)
         when {
-            !streaming -> owner.completed(this, completeAnswer())
+            !streaming -> owner.completed(this, if (outcomeUnknown) unstatedOutcome() else completeAnswer())
             framer.done || nothingWasLeft() -> {
                 end(AttemptEnd.Completed(HTTP_OK, framer.tokens, receivedBytes, null))
                 owner.streamCompleted(this, framer.remainder())
@@ -106,11 +108,15 @@
         parseLoad(arrived.headers.get(LOAD_HEADER))?.let { report(EntryEvent.LoadReported(effect.upstream, it)) }
         when (val reply = owner.classifyReply(arrived)) {
             UpstreamReply.Accepted -> Unit
+            UpstreamReply.OutcomeUnknown -> {
+                owner.answerNotUsed(this, arrived.status, "outcome_unknown")
+                outcomeUnknown = true
+            }
             is UpstreamReply.Rejected ->
                 return endNotRun(AttemptEnd.Rejected(reply.retryAfterMilliseconds), arrived)
             UpstreamReply.Misdirected -> return endNotRun(AttemptEnd.Misdirected, arrived)
             UpstreamReply.Mismatched -> {
-                owner.answerNotUsed(this, arrived, reply)
+                owner.answerNotUsed(this, arrived.status, "mismatched")
                 end(AttemptEnd.Broken(0, 0))
                 return cancel()
             }
@@ -155,7 +161,8 @@
         if (firstByteSeen) return
         firstByteSeen = true
         lastProgress = now()
-        report(EntryEvent.AttemptFirstByte(number, failed = checkNotNull(head).status >= HTTP_SERVER_ERROR))
+        val failed = outcomeUnknown || checkNotNull(head).status >= HTTP_SERVER_ERROR
+        report(EntryEvent.AttemptFirstByte(number, failed))
     }
 
     private fun progress() {
@@ -186,6 +193,17 @@
     private fun completeAnswer() =
         CompleteAnswer(checkNotNull(head).status, checkNotNull(head).headers, collected.toByteArray())
 
+    /** Replaces the upstream's answer, whose status would tell the caller that the request did not run. */
+    private fun unstatedOutcome(): CompleteAnswer {
+        val status = checkNotNull(head).status
+        val body =
+            problemBody(
+                "the upstream answered with status $status and did not state whether it ran the request",
+                "send the request again if it is idempotent; otherwise check with the service whether it ran",
+            )
+        return CompleteAnswer(HTTP_BAD_GATEWAY, JSON_HEADERS, body.toByteArray(), StatedOutcome.UNKNOWN)
+    }
+
     private fun tooLarge(): CompleteAnswer {
         val body =
             problemBody("the upstream's answer exceeds the entry's limit", "ask for a smaller or a streamed answer")
@@ -217,6 +235,7 @@
     val status: Int,
     val headers: HttpHeaders,
     val body: ByteArray,
+    val outcome: StatedOutcome = StatedOutcome.RAN,
 )
 
 internal const val HTTP_OK = 200
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -6,7 +6,6 @@
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.core.Refusal
-import hawthorncrank.entry.core.StatedOutcome
 import hawthorncrank.protocol.CallOutcome
 import hawthorncrank.protocol.RECORDED_BODY_LIMIT_BYTES
 import io.netty.channel.EventLoop
@@ -106,7 +105,7 @@
         attempt: Attempt,
         received: CompleteAnswer,
     ) {
-        val headers = forwardedHeaders(received.headers) + (OUTCOME_HEADER to StatedOutcome.RAN.headerValue)
+        val headers = forwardedHeaders(received.headers) + (OUTCOME_HEADER to received.outcome.headerValue)
         val answer = CallerAnswer.Complete(received.status, headers, received.body)
         val isCurrent = attempt === current
         // The stream was to be resumed, but the upstream sent an answer that is not a stream.
@@ -144,15 +143,15 @@
 
     fun answerNotUsed(
         attempt: Attempt,
-        head: UpstreamSignal.Head,
-        reply: UpstreamReply,
+        status: Int,
+        reason: String,
     ) = log.record(
         EntryEventCode.ANSWER_NOT_USED,
         "request" to number,
         "attempt" to attempt.number,
         "upstream" to attempt.effect.upstream,
-        "status" to head.status,
-        "reason" to reply.toString().lowercase(),
+        "status" to status,
+        "reason" to reason,
     )
 
     fun streamEndedInsideEvent(
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RepeatedRefusalTest.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 
 /** Guards against an earlier refusal that an upstream writes once more on a kept connection. */
@@ -43,6 +44,29 @@
             }
         }
 
+    /** The HTTP client drops the part that arrives before the next request, or takes the rest for the next answer. */
+    @TestFactory
+    fun `a copy that arrives in part before the next request does not refuse that request`() =
+        eachRoute { path ->
+            val copy = refusal("a")
+            for (before in listOf(0, 1, copy.length / 2, copy.length - 1, copy.length)) {
+                val upstream =
+                    KeptConnectionUpstream { call ->
+                        when {
+                            call.identifier == "a" -> refusal("a") + copy.take(before)
+                            call.connection == 1 && call.identifier == "b" -> copy.drop(before) + answer(call)
+                            else -> answer(call)
+                        }
+                    }
+                serving(upstream) { send ->
+                    assertEquals(HTTP_UNAVAILABLE, send(path, "a").status)
+                    assertContains(listOf(HTTP_OK, HTTP_BAD_GATEWAY), send(path, "b").status, "$before bytes before")
+                    val third = send(path, "c")
+                    assertEquals(HTTP_OK to event("c"), third.status to third.body, "$before bytes before")
+                }
+            }
+        }
+
     private fun eachRoute(check: (path: String) -> Unit) =
         routes.map { DynamicTest.dynamicTest(it.pathPrefix) { check(it.pathPrefix) } }
 
@@ -52,21 +76,10 @@
     ) = upstream.use {
         val protocol = RoutedEntryFixture.protocol(::classify)
         RoutedEntryFixture.entry(upstream.port, routes, protocol = protocol).use { entry ->
-            check { path, identifier -> send(entry.httpPort, path, identifier) }
+            check { path, identifier -> RoutedEntryFixture.send(entry.httpPort, path, identifier) }
         }
     }
 
-    /** Sends the request again until the entry has a configuration. */
-    private fun send(
-        port: Int,
-        path: String,
-        identifier: String,
-    ): HttpAnswer {
-        val headers = listOf("$IDENTIFIER_HEADER: $identifier", "test-time: 4000")
-        return generateSequence { exchange(port, "POST", path, "{}", headers) }
-            .first { "no configuration" !in it.body }
-    }
-
     private fun classify(
         identifier: String,
         status: Int,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -100,6 +100,17 @@
         return process
     }
 
+    /** Sends a request, again and again until the entry has a configuration. */
+    fun send(
+        port: Int,
+        path: String,
+        identifier: String,
+    ): HttpAnswer {
+        val headers = listOf("$IDENTIFIER_HEADER: $identifier", "test-time: 4000")
+        return generateSequence { exchange(port, "POST", path, "{}", headers) }
+            .first { "no configuration" !in it.body }
+    }
+
     fun route(
         path: String,
         tier: Int,
