--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryEventCode.kt
@@ -29,4 +29,5 @@
     STREAM_ENDED_INSIDE_EVENT(1017, Level.INFO, "a stream from an upstream ended inside an event"),
     CLOSING(1018, Level.INFO, "entry closes its ports"),
     ANSWERS_CUT(1019, Level.WARN, "connections closed before their requests were answered"),
+    ANSWER_NOT_USED(1020, Level.INFO, "an upstream's answer was not passed on"),
 }
