Test what an error answer does to a stream that broke off

Callers of routes found an upstream's error in the middle of their stream, or a stream that ended as complete, after the upstream before had broken off. One suspect was the second upstream's answer itself: a status other than 200, another type, a rejection, a head that is cut, or no answer.

ResumedStreamTest plays each of them against streams that broke off inside and after an event, with a length, in chunks and without either, for callers of HTTP/1.1 and 1.0: 121 cases. The attempt counts as broken, and a stream that cannot go on ends with its connection. The tests stay as a guard. A stream on a route that may not be resumed ends in the same way.

The raw caller of TruncatedStreamTest moves to StreamCaller, unchanged.

--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -33,6 +33,7 @@
 internal object RoutedEntryFixture {
     const val PRIORITY_HEADER = "test-priority"
     const val LAST_EVENT_HEADER = "test-last-event"
+    const val NOT_RUN_HEADER = "test-not-run"
     private const val SERVICE_LEVEL = "level"
     private val settings =
         EntrySettings(
@@ -54,13 +55,17 @@
     private val protocol =
         ExchangeProtocol(
             readCallerHeaders = {
-                CallerHeaders("attempt", it.get("test-key"), it.get("test-time")?.toLong(), 100, 10, emptyList(), null)
+                val timeLeft = it.get("test-time")?.toLong()
+                val lastEvent = it.get(LAST_EVENT_HEADER)
+                CallerHeaders("attempt", it.get("test-key"), timeLeft, 100, 10, emptyList(), lastEvent)
             },
             writeUpstreamHeaders = { call ->
                 listOf(PRIORITY_HEADER to call.priority.toString()) +
                     listOfNotNull(call.lastEventIdentifier?.let { LAST_EVENT_HEADER to it })
             },
-            classifyReply = { _, _, _ -> UpstreamReply.Accepted },
+            classifyReply = { _, _, headers ->
+                if (headers.contains(NOT_RUN_HEADER)) UpstreamReply.Rejected(null) else UpstreamReply.Accepted
+            },
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
             formatRetryAfter = { "1" },
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/TruncatedStreamTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/TruncatedStreamTest.kt
@@ -2,10 +2,9 @@
 
 import hawthorncrank.entry.internal.RoutedEntryFixture.LAST_EVENT_HEADER
 import hawthorncrank.entry.internal.RoutedEntryFixture.route
+import hawthorncrank.entry.internal.StreamCaller.receive
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
-import java.net.Socket
-import java.net.SocketException
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -107,52 +106,13 @@
     private fun received(
         version: String,
         answer: ClosingAnswer,
-    ): Received =
+    ): ReceivedStream =
         ClosingUpstream(listOf(answer)).use { upstream ->
             RoutedEntryFixture.entry(upstream.port, listOf(stream)).use { entry ->
                 receive(entry.httpPort, version) { if (first in it) upstream.received.countDown() }
             }
         }
 
-    /** Sends the request again until the entry has a configuration. */
-    private fun receive(
-        port: Int,
-        version: String,
-        onText: (String) -> Unit = {},
-    ): Received = generateSequence { receiveOnce(port, version, onText) }.first { "no configuration" !in it.text }
-
-    private fun receiveOnce(
-        port: Int,
-        version: String,
-        onText: (String) -> Unit,
-    ): Received =
-        Socket("127.0.0.1", port).use { socket ->
-            socket.soTimeout = CALL_LIMIT_MILLISECONDS
-            val headers = "Host: 127.0.0.1\r\nConnection: close\r\ntest-time: 4000\r\nContent-Length: 2\r\n\r\n{}"
-            socket.getOutputStream().write("POST /stream/ HTTP/$version\r\n$headers".toByteArray())
-            val bytes = StringBuilder()
-            val buffer = ByteArray(READ_BYTES)
-            try {
-                generateSequence { socket.getInputStream().read(buffer).takeIf { it >= 0 } }
-                    .forEach { onText(bytes.append(buffer.decodeToString(0, it)).toString()) }
-                Received(bytes.toString(), reset = false)
-            } catch (_: SocketException) {
-                Received(bytes.toString(), reset = true)
-            }
-        }
-
-    /** What a caller received until its connection ended, by a [reset] or properly. */
-    private class Received(
-        val text: String,
-        private val reset: Boolean,
-    ) {
-        private val chunked = "transfer-encoding: chunked" in text.lowercase()
-        private val body = text.substringAfter("\r\n\r\n")
-        private val succeeded = text.substringBefore("\r\n").contains(" 200 ")
-        val complete = succeeded && !reset && (!chunked || body.endsWith(LAST_CHUNK))
-        val events = if (chunked) body.replace(Regex("(^|\r\n)[0-9a-f]+\r\n"), "").replace("\r\n", "") else body
-    }
-
     private fun undelimited(events: String) = "$head\r\n$events"
 
     private fun chunks(events: String): String {
@@ -166,10 +126,8 @@
     ) = "${head}Content-Length: ${events.length + missing}\r\n\r\n$events"
 
     private companion object {
-        const val LAST_CHUNK = "0\r\n\r\n"
+        const val LAST_CHUNK = BodyFraming.LAST_CHUNK
         const val HEXADECIMAL = 16
-        const val READ_BYTES = 4_096
-        const val CALL_LIMIT_MILLISECONDS = 20_000
         val VERSIONS = listOf("1.1", "1.0")
     }
 }
