Accept only events that continue a numbered stream

Callers of a route's stream found an upstream's error, at times with its whole head, between two events, or events that they had already. This happened when an upstream answered 200 and its body was not the rest of the stream: after another one had broken off, as the first answer, or after events of its own.

Cause: EventFramer took any text up to an empty line as an event. It looked for identifiers but did not require one, nor compare it with the one before. An answer without a type counts as the stream as well, so a plain error passed. A text of more than 1 MiB without an empty line was sent in parts.

Change: NumberedEvents checks each event of a routed stream. Its lines must be fields or comments, and it has one identifier, which is higher than the one before it in this answer, in an earlier attempt, or in the stream that the caller resumes. An event over 1 MiB breaks the attempt too, because a stream cannot be resumed inside it. Identifiers need not be consecutive, so one that is left out is not noticed. Chat completions are unchanged.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -25,7 +25,7 @@
     private val now: () -> Long,
     private val report: (EntryEvent) -> Unit,
 ) : BaseSubscriber<UpstreamSignal>() {
-    private val framer = EventFramer(owner.framing)
+    private val framer by lazy(LazyThreadSafetyMode.NONE) { EventFramer(owner.framing, owner.precedingEventIdentifier) }
     private val collected = ByteArrayOutputStream()
     private var head: UpstreamSignal.Head? = null
     private var streaming = false
@@ -142,7 +142,11 @@
             }
             return
         }
-        val events = framer.accept(bytes)
+        receiveEvents(framer.accept(bytes))
+        framer.fault?.let(::fail)
+    }
+
+    private fun receiveEvents(events: ByteArray) {
         if (!firstByteSeen && events.isEmpty()) return pull(1)
         if (!firstByteSeen) owner.streamBegun(this)
         firstByte()
@@ -150,6 +154,12 @@
         progress()
     }
 
+    private fun fail(fault: InvalidEvent) {
+        owner.attemptFailed(this, fault)
+        end(AttemptEnd.Broken(framer.tokens, receivedBytes))
+        cancel()
+    }
+
     private fun firstByte() {
         if (firstByteSeen) return
         firstByteSeen = true
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
@@ -2,12 +2,15 @@
 
 /**
  * Splits a stream of server-sent events at event boundaries, so that a caller never has an incomplete event when a
- * stream breaks and is resumed or ends with an error. Buffers at most [MAXIMUM_EVENT_BYTES]; a longer event is sent in
- * parts.
+ * stream breaks and is resumed or ends with an error. Buffers at most [MAXIMUM_EVENT_BYTES]; a longer chat completion
+ * event is sent in parts. [precedingIdentifier] is the identifier of the event that a resumed stream continues after.
  */
 internal class EventFramer(
     private val framing: StreamFraming = StreamFraming.CompletionEvents,
+    precedingIdentifier: String? = null,
 ) {
+    private val numbered = NumberedEvents(precedingIdentifier)
+    private var contents = 0
     private var buffer = ByteArray(0)
 
     // The buffered bytes belong to one event that is not complete.
@@ -15,11 +18,13 @@
     private var lastLine = ""
 
     /** The number of events with text or, in numbered streams, with an identifier. Engines send one event per token. */
-    var tokens = 0
-        private set
+    val tokens: Int get() = contents + numbered.count
 
     /** The identifier of the newest complete event, or null if events have none. */
-    var lastEventIdentifier: String? = null
+    val lastEventIdentifier: String? get() = numbered.lastIdentifier
+
+    /** Why the stream cannot continue, or null. Nothing is accepted after it. */
+    var fault: InvalidEvent? = null
         private set
 
     /** The number of bytes received of an event that is not complete. */
@@ -36,12 +41,14 @@
                 StreamFraming.NumberedEvents -> tokens > 0 && unfinishedBytes == 0
             }
 
+    /** Returns the complete events that [bytes] ends or contains, up to the first one that is invalid. */
     fun accept(bytes: ByteArray): ByteArray {
+        if (fault != null) return NOTHING
         val searched = buffered
         append(bytes)
         val end = endOfCompleteEvents(searched)
-        if (end == 0 && buffered <= MAXIMUM_EVENT_BYTES) return ByteArray(0)
-        return take(if (end == 0) buffered else end).also(::inspect)
+        if (end > 0) return inspect(take(end))
+        return if (buffered <= MAXIMUM_EVENT_BYTES) NOTHING else acceptLong()
     }
 
     fun remainder(): ByteArray = take(buffered)
@@ -61,31 +68,44 @@
         return taken
     }
 
-    private fun inspect(events: ByteArray) {
-        val text = events.decodeToString()
+    /** A stream is resumed after an event and not inside one, so a part of a numbered event is never sent. */
+    private fun acceptLong(): ByteArray {
+        if (framing == StreamFraming.CompletionEvents) return inspect(take(buffered))
+        fault = InvalidEvent("an event is longer than $MAXIMUM_EVENT_BYTES bytes")
+        return NOTHING
+    }
+
+    private fun inspect(events: ByteArray): ByteArray =
         when (framing) {
-            StreamFraming.CompletionEvents -> inspectCompletion(text)
-            StreamFraming.NumberedEvents -> inspectNumbered(text)
+            StreamFraming.CompletionEvents -> events.also { inspectCompletion(it.decodeToString()) }
+            StreamFraming.NumberedEvents -> events.copyOf(inspectNumbered(events))
         }
-    }
 
     private fun inspectCompletion(text: String) {
         var position = text.indexOf(CONTENT)
         while (position >= 0) {
-            tokens += 1
+            contents += 1
             position = text.indexOf(CONTENT, position + CONTENT.length)
         }
         lastLine = text.trimEnd().substringAfterLast('\n')
     }
 
-    private fun inspectNumbered(text: String) {
-        for (line in text.lineSequence()) {
-            if (!line.startsWith(IDENTIFIER)) continue
-            tokens += 1
-            lastEventIdentifier = line.substring(IDENTIFIER.length).trim()
+    /** Returns the length of the leading events that are valid. */
+    private fun inspectNumbered(events: ByteArray): Int {
+        // One character for each byte, so that lengths are the same.
+        val text = events.toString(Charsets.ISO_8859_1)
+        var start = 0
+        for (end in ends(text)) {
+            fault = numbered.accept(text.substring(start, end))
+            if (fault != null) return start
+            start = end
         }
+        return start
     }
 
+    private fun ends(text: String): Sequence<Int> =
+        EVENT_END.findAll(text).map { it.range.last + 1 }.filter { it < text.length } + text.length
+
     /** Searches the buffer from [searched] on. */
     private fun endOfCompleteEvents(searched: Int): Int {
         for (index in buffered - 1 downTo maxOf(1, searched)) {
@@ -104,9 +124,10 @@
     private companion object {
         const val MAXIMUM_EVENT_BYTES = 1 shl 20
         const val CONTENT = "\"content\":"
-        const val IDENTIFIER = "id:"
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val LINE_FEED = '\n'.code.toByte()
+        val EVENT_END = Regex("\n\r?\n")
+        val NOTHING = ByteArray(0)
     }
 }
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -36,6 +36,9 @@
 
     val streamed: Boolean get() = request.streamed
     val framing: StreamFraming get() = request.format.framing
+
+    /** The identifier of the last event that the caller has, from this answer or from an earlier one. */
+    val precedingEventIdentifier: String? get() = lastEventIdentifier ?: request.resumesAfter
     val answer: Mono<CallerAnswer> get() = answered.asMono()
 
     /** Called on the control thread: registers the attempt at once, so that a later cancellation always finds it. */
@@ -126,7 +129,7 @@
     }
 
     /** Whether the caller already has the events before the ones that [attempt] asks for. */
-    fun resumes(attempt: Attempt): Boolean = request.resumesStream || attempt.effect.resume != null
+    fun resumes(attempt: Attempt): Boolean = request.resumesAfter != null || attempt.effect.resume != null
 
     fun classifyReply(head: UpstreamSignal.Head): UpstreamReply =
         request.format.classifyReply(head.status, head.headers)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/OutgoingRequest.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/OutgoingRequest.kt
@@ -6,8 +6,8 @@
 import io.netty.handler.codec.http.HttpMethod
 
 /**
- * The part of a caller's request that each attempt sends to an upstream. [resumesStream] is set if the caller asks for
- * the rest of a stream of which it has received a part.
+ * The part of a caller's request that each attempt sends to an upstream. [resumesAfter] identifies the last event
+ * that the caller has received if it asks for the rest of a stream.
  */
 internal class OutgoingRequest(
     val method: HttpMethod,
@@ -16,7 +16,7 @@
     val idempotent: Boolean,
     val streamed: Boolean,
     val format: ExchangeFormat,
-    val resumesStream: Boolean = false,
+    val resumesAfter: String? = null,
     val body: (priority: Int, resume: StreamResume?) -> ByteArray,
 )
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -102,7 +102,7 @@
             idempotent = idempotent,
             streamed = route.streamed,
             format = exchangeFormat(organisation),
-            resumesStream = caller.lastEventIdentifier != null,
+            resumesAfter = caller.lastEventIdentifier,
             body = { _, _ -> received.body },
         )
     }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/EventFramerTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/EventFramerTest.kt
@@ -22,6 +22,20 @@
         assertTrue(framer.done)
     }
 
+    /** Guards against bytes that are lost or changed when numbered events are checked. */
+    @Property(tries = 200)
+    fun `numbered events are unchanged for every chunk size`(
+        @ForAll @IntRange(min = 1, max = 40) size: Int,
+    ) {
+        val events = (1..20).map { "id: ${it * 3}\ndata: \u2026\u00e4$it\r\u0085\n\n" + "\n".repeat(it % 3) }
+        val stream = ("\n: comment\n\n" + events.joinToString("") + "id:61\r\ndata\r\n\r\n").toByteArray()
+        val framer = EventFramer(StreamFraming.NumberedEvents, precedingIdentifier = "2")
+        val out = stream.toList().chunked(size).flatMap { framer.accept(it.toByteArray()).toList() }
+        assertEquals(stream.toList(), out + framer.remainder().toList())
+        assertEquals(21 to "61", framer.tokens to framer.lastEventIdentifier)
+        assertTrue(framer.done)
+    }
+
     @Test
     fun `an incomplete event is held back`() {
         val framer = EventFramer()
