Do not complete a stream that lacks an event by an empty answer

Callers of a resumable stream got it framed as complete, although its upstream had broken off inside an event or before the length that it had stated, and the next upstream had sent nothing.

Cause: an empty answer to a resumed stream counts as its end if it has a length or a last chunk, because the stream before may have lacked only its end. What the entry had received of a further event was not considered, nor what was left of the length. An answer without a type counts as the stream, so an empty error did so too.

Change: the exchange keeps whether the newest attempt that passed events broke off before an event that is known to exist. An empty answer is then broken like any other incomplete one, and so is one that is not stated to be a stream.

What remains: after a break between two chunks nothing tells whether events are left, since a numbered stream has no end marker. A whole, empty answer of the next upstream is taken as the end there, as before (TruncatedStreamTest).

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -45,6 +45,13 @@
     val answerHeaders: HttpHeaders get() = checkNotNull(head).headers
     val lastEventIdentifier: String? get() = framer.lastEventIdentifier
 
+    /** Whether events of the stream were passed to the caller. */
+    val passedEvents: Boolean get() = streaming && firstByteSeen
+
+    /** Whether what was received shows that the stream has a further event, which did not arrive in full. */
+    val brokeOffBeforeEvent: Boolean
+        get() = streaming && framer.fault == null && (framer.unfinishedBytes > 0 || receivedBytes < announcedBytes())
+
     /** Requests [count] more chunks from the upstream. */
     fun pull(count: Long) {
         if (wanted == 0L) waitingSince = now()
@@ -125,11 +132,12 @@
 
     /**
      * Whether the caller had received all events before this attempt. The end of a connection alone does not say so,
-     * because an upstream that fails before its next event ends it too.
+     * because an upstream that fails before its next event ends it too. Nor does an empty body that is not stated to be
+     * a stream, because it may belong to an error.
      */
     private fun nothingWasLeft(): Boolean =
-        owner.resumes(this) && framer.tokens == 0 && framer.unfinishedBytes == 0 &&
-            bodyDelimiter(answerHeaders) != BodyDelimiter.CONNECTION
+        owner.resumes(this) && !owner.lacksEvent && framer.tokens == 0 && framer.unfinishedBytes == 0 &&
+            answerHeaders.contains(CONTENT_TYPE) && bodyDelimiter(answerHeaders) != BodyDelimiter.CONNECTION
 
     private fun receive(bytes: ByteArray) {
         receivedBytes += bytes.size
@@ -160,6 +168,8 @@
         cancel()
     }
 
+    private fun announcedBytes(): Long = answerHeaders.get(CONTENT_LENGTH)?.toLongOrNull() ?: 0
+
     private fun firstByte() {
         if (firstByteSeen) return
         firstByteSeen = true
@@ -207,7 +217,7 @@
         arrived: UpstreamSignal.Head,
     ) {
         end(end)
-        val length = arrived.headers.get("Content-Length")?.toLongOrNull()
+        val length = arrived.headers.get(CONTENT_LENGTH)?.toLongOrNull()
         if (length != null && length <= SMALL_BODY_BYTES) request(Long.MAX_VALUE) else cancel()
     }
 
@@ -218,6 +228,7 @@
         // A rejection of this size arrives together with its head; reading it costs less than a new connection.
         const val SMALL_BODY_BYTES = 4_096L
         const val EVENT_STREAM = "text/event-stream"
+        const val CONTENT_LENGTH = "Content-Length"
     }
 }
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -34,6 +34,10 @@
     private var answerStarted = false
     private var lastEventIdentifier: String? = null
 
+    /** Whether the stream has an event that the caller lacks, as an attempt that broke off has shown. */
+    var lacksEvent = false
+        private set
+
     val streamed: Boolean get() = request.streamed
     val framing: StreamFraming get() = request.format.framing
 
@@ -157,7 +161,10 @@
         "unfinished_bytes" to unfinishedBytes,
     )
 
-    fun attemptEnded(attempt: Attempt) = activeExchanges.remove(attempt)
+    fun attemptEnded(attempt: Attempt) {
+        if (attempt === current) lacksEvent = attempt.brokeOffBeforeEvent || lacksEvent && !attempt.passedEvents
+        activeExchanges.remove(attempt)
+    }
 
     fun callerLeft() {
         activeExchanges.report(EntryEvent.CallerLeft(number))
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/ResumedStreamTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/ResumedStreamTest.kt
@@ -83,6 +83,24 @@
             }
         }
 
+    @TestFactory
+    fun `an empty answer does not complete a stream that broke off inside an event`() =
+        BodyFraming.entries.flatMap { framing ->
+            brokenInsideEvent.map { (name, broken) ->
+                keeps("$name, then ${framing.name.lowercase()}", broken, framing.whole(streamHead, ""), first)
+            }
+        }
+
+    @TestFactory
+    fun `an empty answer without a type does not complete a stream`() = everyFraming("empty", untyped, "")
+
+    @TestFactory
+    fun `an empty answer does not complete a stream that broke off before its length`() =
+        BodyFraming.entries.map { framing ->
+            val broken = BodyFraming.LENGTH.brokenOff(streamHead, first)
+            keeps("then ${framing.name.lowercase()}", broken, framing.whole(streamHead, ""), first)
+        }
+
     @TestFactory
     fun `a stream that may not be resumed ends without completion where it broke off`() =
         (brokenInsideEvent + brokenAfterEvent).map { (name, broken) ->
@@ -96,6 +114,7 @@
             continued("an error", BodyFraming.LENGTH.whole(errorHead, error)),
             continued("text that is no event", BodyFraming.LENGTH.whole(streamHead, error)),
             continued("the first event again", BodyFraming.CHUNKS.whole(streamHead, first + second)),
+            continued("nothing", BodyFraming.CHUNKS.whole(streamHead, "")),
         )
 
     @Test
