Require the end marker of resumed chat completions

Callers of chat completions got a stream that ended like a complete one, with neither its end marker nor an error event, when its engine had broken off and the engine then sent nothing more for the rest.

Cause: an empty answer to a resumed stream counts as its end, because the stream before may have lacked only its end. That is needed for numbered streams, which have no end marker. Chat completions have one.

ResumedCompletionTest, an empty answer does not complete a stream that lacks its end marker: expected: <data: {"delta":{"content":"a"}} event: error ...> but was: <data: {"delta":{"content":"a"}}>

A stream that broke off after its end marker, and an answer with status 500, passed before and stay as guards.

Change: the exchange keeps whether the end marker has been passed on; only then an empty answer completes chat completions. The rule for routes is unchanged.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -45,6 +45,9 @@
     val answerHeaders: HttpHeaders get() = checkNotNull(head).headers
     val lastEventIdentifier: String? get() = framer.lastEventIdentifier
 
+    /** Whether the stream may end after what was received. */
+    val mayEnd: Boolean get() = framer.done
+
     /** Whether events of the stream were passed to the caller. */
     val passedEvents: Boolean get() = streaming && firstByteSeen
 
@@ -84,7 +87,7 @@
         if (streaming && framer.unfinishedBytes > 0) owner.streamEndedInsideEvent(this, framer.unfinishedBytes)
         when {
             !streaming -> owner.completed(this, completeAnswer())
-            framer.done || nothingWasLeft() -> {
+            mayEnd || nothingWasLeft() -> {
                 end(AttemptEnd.Completed(HTTP_OK, framer.tokens, receivedBytes, null))
                 owner.streamCompleted(this, framer.remainder())
             }
@@ -136,7 +139,7 @@
      * a stream, because it may belong to an error.
      */
     private fun nothingWasLeft(): Boolean =
-        owner.resumes(this) && !owner.lacksEvent && framer.tokens == 0 && framer.unfinishedBytes == 0 &&
+        owner.resumes(this) && owner.mayHaveAllEvents && framer.tokens == 0 && framer.unfinishedBytes == 0 &&
             answerHeaders.contains(CONTENT_TYPE) && bodyDelimiter(answerHeaders) != BodyDelimiter.CONNECTION
 
     private fun receive(bytes: ByteArray) {
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -34,15 +34,23 @@
     private var answerStarted = false
     private var lastEventIdentifier: String? = null
 
-    /** Whether the stream has an event that the caller lacks, as an attempt that broke off has shown. */
-    var lacksEvent = false
-        private set
+    // The stream has an event that the caller lacks, as an attempt that broke off has shown.
+    private var lacksEvent = false
+    private var endMarkerPassed = false
 
     val streamed: Boolean get() = request.streamed
     val framing: StreamFraming get() = request.format.framing
 
     /** The identifier of the last event that the caller has, from this answer or from an earlier one. */
     val precedingEventIdentifier: String? get() = lastEventIdentifier ?: request.resumesAfter
+
+    /** Whether the caller may have all events of the stream, so that an empty rest completes it. */
+    val mayHaveAllEvents: Boolean
+        get() =
+            when (framing) {
+                StreamFraming.CompletionEvents -> endMarkerPassed
+                StreamFraming.NumberedEvents -> !lacksEvent
+            }
     val answer: Mono<CallerAnswer> get() = answered.asMono()
 
     /** Called on the control thread: registers the attempt at once, so that a later cancellation always finds it. */
@@ -96,6 +104,7 @@
     ) {
         if (attempt !== current) return
         lastEventIdentifier = attempt.lastEventIdentifier ?: lastEventIdentifier
+        endMarkerPassed = attempt.mayEnd
         relay?.next(events)
     }
 
