Do not pass on text that is no event in chat completions

Callers of chat completions found an engine's error between two events of their stream, and a whole head where the engine's body held one, when the engine answered 200 with the type of a stream, with or without an end marker.

Cause: as in numbered streams before, EventFramer took any text up to an empty line as an event.

Evidence: 4 cases of ResumedCompletionTest failed before, among them

text that is no event is not sent to the caller: expected: <data: {"delta":{"content":"a"}} event: error ...> but was: <data: {"delta":{"content":"a"}} HTTP/1.1 500 Internal Server Error Content-Type: text/plain event: error ...>

An event over 1 MiB is still sent in parts, which EventFramerTest now checks, and which are not checked for their form. The error event of the entry itself has the type `error`, which tells it from a part of the answer.

What remains: an engine that starts the stream again instead of resuming it at its offset is not noticed, since events of chat completions have no identifier.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
@@ -15,7 +15,8 @@
 
     // The buffered bytes belong to one event that is not complete.
     private var buffered = 0
-    private var lastLine = ""
+    private var insideLongEvent = false
+    private var lastField = ""
 
     /** The number of events with text or, in numbered streams, with an identifier. Engines send one event per token. */
     val tokens: Int get() = contents + numbered.count
@@ -31,13 +32,13 @@
     val unfinishedBytes: Int get() = buffered
 
     /**
-     * Whether the stream may end here: for chat completions, whether the last line is the end marker. A numbered stream
+     * Whether the stream may end here: for chat completions, whether the last field is the end marker. A numbered stream
      * has no end marker, so the end of its body counts only after an event, and not inside one.
      */
     val done: Boolean
         get() =
             when (framing) {
-                StreamFraming.CompletionEvents -> lastLine.trim() == "data: [DONE]"
+                StreamFraming.CompletionEvents -> lastField.trim() == "data: [DONE]"
                 StreamFraming.NumberedEvents -> tokens > 0 && unfinishedBytes == 0
             }
 
@@ -68,39 +69,45 @@
         return taken
     }
 
-    /** A stream is resumed after an event and not inside one, so a part of a numbered event is never sent. */
+    /** A numbered stream is resumed after an event and not inside one, so a part of an event is never sent. */
     private fun acceptLong(): ByteArray {
-        if (framing == StreamFraming.CompletionEvents) return inspect(take(buffered))
-        fault = InvalidEvent("an event is longer than $MAXIMUM_EVENT_BYTES bytes")
-        return NOTHING
-    }
-
-    private fun inspect(events: ByteArray): ByteArray =
-        when (framing) {
-            StreamFraming.CompletionEvents -> events.also { inspectCompletion(it.decodeToString()) }
-            StreamFraming.NumberedEvents -> events.copyOf(inspectNumbered(events))
+        if (framing == StreamFraming.NumberedEvents) {
+            fault = InvalidEvent("an event is longer than $MAXIMUM_EVENT_BYTES bytes")
+            return NOTHING
         }
-
-    private fun inspectCompletion(text: String) {
-        var position = text.indexOf(CONTENT)
-        while (position >= 0) {
-            contents += 1
-            position = text.indexOf(CONTENT, position + CONTENT.length)
-        }
-        lastLine = text.trimEnd().substringAfterLast('\n')
+        insideLongEvent = true
+        return take(buffered).also { countContents(it.toString(Charsets.ISO_8859_1)) }
     }
 
-    /** Returns the length of the leading events that are valid. */
-    private fun inspectNumbered(events: ByteArray): Int {
+    /** Returns the leading events that are valid. */
+    private fun inspect(events: ByteArray): ByteArray {
         // One character for each byte, so that lengths are the same.
         val text = events.toString(Charsets.ISO_8859_1)
         var start = 0
         for (end in ends(text)) {
-            fault = numbered.accept(text.substring(start, end))
-            if (fault != null) return start
+            val event = text.substring(start, end)
+            fault = if (framing == StreamFraming.NumberedEvents) numbered.accept(event) else acceptCompletion(event)
+            if (fault != null) return events.copyOf(start)
             start = end
         }
-        return start
+        return events
+    }
+
+    private fun acceptCompletion(event: String): InvalidEvent? {
+        val fields = fieldsOf(event)
+        if (!insideLongEvent && !fields.all(::isField)) return InvalidEvent(NO_EVENT)
+        insideLongEvent = false
+        countContents(event)
+        lastField = fields.lastOrNull() ?: lastField
+        return null
+    }
+
+    private fun countContents(text: String) {
+        var position = text.indexOf(CONTENT)
+        while (position >= 0) {
+            contents += 1
+            position = text.indexOf(CONTENT, position + CONTENT.length)
+        }
     }
 
     private fun ends(text: String): Sequence<Int> =
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/InvalidEvent.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/InvalidEvent.kt
@@ -4,3 +4,5 @@
 internal class InvalidEvent(
     problem: String,
 ) : RuntimeException("the upstream's stream cannot continue: $problem; check the upstream", null, false, false)
+
+internal const val NO_EVENT = "it contains text that is not an event"
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/NumberedEvents.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/NumberedEvents.kt
@@ -23,7 +23,7 @@
         val identifier = identifiers.firstOrNull()
         val problem =
             when {
-                !fields.all(::isField) -> "it contains text that is not an event"
+                !fields.all(::isField) -> NO_EVENT
                 identifier == null -> "an event has no identifier"
                 identifiers.size > 1 -> "event $identifier contains another event"
                 !follows(identifier) -> "event $identifier does not follow event ${newest()}"
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/EventFramerTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/EventFramerTest.kt
@@ -6,6 +6,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 
 class EventFramerTest {
@@ -46,4 +47,24 @@
         assertFalse(framer.done)
         assertEquals("data: {", framer.remainder().decodeToString())
     }
+
+    /** Guards against a long event that is not passed on because its parts do not look like events. */
+    @Test
+    fun `a long chat completion event is sent in parts`() {
+        val stream = (FakeUpstream.event("x y".repeat(1 shl 20)) + FakeUpstream.DONE).toByteArray()
+        val framer = EventFramer()
+        val out = stream.toList().chunked(100_000).flatMap { framer.accept(it.toByteArray()).toList() }
+        assertEquals(stream.toList(), out)
+        assertEquals(1, framer.tokens)
+        assertTrue(framer.done)
+    }
+
+    /** Guards against a part of an event that the caller has when its stream is resumed after the event before it. */
+    @Test
+    fun `a long numbered event is not sent in parts`() {
+        val framer = EventFramer(StreamFraming.NumberedEvents)
+        val out = framer.accept(("id: 1\ndata: " + "x".repeat(1 shl 20)).toByteArray())
+        assertEquals(0, out.size)
+        assertNotNull(framer.fault)
+    }
 }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/ResumedCompletionTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/ResumedCompletionTest.kt
@@ -10,6 +10,8 @@
 import hawthorncrank.entry.internal.EntryFixture.Companion.configured
 import hawthorncrank.entry.internal.FakeUpstream.Companion.DONE
 import hawthorncrank.entry.internal.FakeUpstream.Companion.event
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
 import reactor.core.publisher.Flux
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -17,6 +19,7 @@
 /** Guards against chat completions that broke off and that the next upstream's error ends or continues. */
 class ResumedCompletionTest {
     private val begun = event("a")
+    private val head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n"
 
     @Test
     fun `an empty answer does not complete a stream that lacks its end marker`() =
@@ -26,10 +29,27 @@
     fun `an empty answer completes a stream that has its end marker`() =
         assertEquals(begun + DONE, answerOf(broken(begun, DONE), FakeUpstream.streaming(Flux.empty())))
 
+    @TestFactory
+    fun `text that is no event is not sent to the caller`() =
+        listOf(
+            endsWithError("an error", "Internal error\n\n"),
+            endsWithError("an error with an end marker", "Internal error\n\n$DONE"),
+            endsWithError("a whole head", head + "Internal error"),
+            endsWithError("an error after an event", event("b") + "Internal error\n\n", begun + event("b")),
+        )
+
     @Test
     fun `an answer with an error status is not sent to the caller`() =
         assertEquals(begun + ERROR, answerOf(broken(begun), FakeUpstream.answering(500, "Internal error\n\n")))
 
+    private fun endsWithError(
+        name: String,
+        answer: String,
+        expected: String = begun,
+    ) = DynamicTest.dynamicTest(name) {
+        assertEquals(expected + ERROR, answerOf(broken(begun), FakeUpstream.streaming(Flux.just(answer))))
+    }
+
     private fun broken(vararg events: String) = FakeUpstream.breaking(events.toList())
 
     /** The events that a caller gets if the stream of [first] is resumed at [second]. */
