--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -26,7 +26,7 @@
     private val now: () -> Long,
     private val report: (EntryEvent) -> Unit,
 ) : BaseSubscriber<UpstreamSignal>() {
-    private val framer = EventFramer(owner.framing)
+    private val framer by lazy(LazyThreadSafetyMode.NONE) { EventFramer(owner.framing, owner.precedingEventIdentifier) }
     private val collected = ByteArrayOutputStream()
     private var head: UpstreamSignal.Head? = null
     private var outcomeUnknown = false
@@ -47,6 +47,16 @@
     val answerHeaders: HttpHeaders get() = checkNotNull(head).headers
     val lastEventIdentifier: String? get() = framer.lastEventIdentifier
 
+    /** Whether the stream may end after what was received. */
+    val mayEnd: Boolean get() = framer.done
+
+    /** Whether events of the stream were passed to the caller. */
+    val passedEvents: Boolean get() = streaming && firstByteSeen
+
+    /** Whether what was received shows that the stream has a further event, which did not arrive in full. */
+    val brokeOffBeforeEvent: Boolean
+        get() = streaming && framer.fault == null && (framer.unfinishedBytes > 0 || receivedBytes < announcedBytes())
+
     /** Requests [count] more chunks from the upstream. */
     fun pull(count: Long) {
         if (wanted == 0L) waitingSince = now()
@@ -79,7 +89,7 @@
         if (streaming && framer.unfinishedBytes > 0) owner.streamEndedInsideEvent(this, framer.unfinishedBytes)
         when {
             !streaming -> owner.completed(this, if (outcomeUnknown) unstatedOutcome() else completeAnswer())
-            framer.done || nothingWasLeft() -> {
+            mayEnd || nothingWasLeft() -> {
                 end(AttemptEnd.Completed(HTTP_OK, framer.tokens, receivedBytes, null))
                 owner.streamCompleted(this, framer.remainder())
             }
@@ -132,11 +142,12 @@
 
     /**
      * Whether the caller had received all events before this attempt. The end of a connection alone does not say so,
-     * because an upstream that fails before its next event ends it too.
+     * because an upstream that fails before its next event ends it too. Nor does an empty body that is not stated to be
+     * a stream, because it may belong to an error.
      */
     private fun nothingWasLeft(): Boolean =
-        owner.resumes(this) && framer.tokens == 0 && framer.unfinishedBytes == 0 &&
-            bodyDelimiter(answerHeaders) != BodyDelimiter.CONNECTION
+        owner.resumes(this) && owner.mayHaveAllEvents && framer.tokens == 0 && framer.unfinishedBytes == 0 &&
+            answerHeaders.contains(CONTENT_TYPE) && bodyDelimiter(answerHeaders) != BodyDelimiter.CONNECTION
 
     private fun receive(bytes: ByteArray) {
         receivedBytes += bytes.size
@@ -149,7 +160,11 @@
             }
             return
         }
-        val events = framer.accept(bytes)
+        receiveEvents(framer.accept(bytes))
+        framer.fault?.let(::fail)
+    }
+
+    private fun receiveEvents(events: ByteArray) {
         if (!firstByteSeen && events.isEmpty()) return pull(1)
         if (!firstByteSeen) owner.streamBegun(this)
         firstByte()
@@ -157,6 +172,14 @@
         progress()
     }
 
+    private fun fail(fault: InvalidEvent) {
+        owner.attemptFailed(this, fault)
+        end(AttemptEnd.Broken(framer.tokens, receivedBytes))
+        cancel()
+    }
+
+    private fun announcedBytes(): Long = answerHeaders.get(CONTENT_LENGTH)?.toLongOrNull() ?: 0
+
     private fun firstByte() {
         if (firstByteSeen) return
         firstByteSeen = true
@@ -216,7 +239,7 @@
         arrived: UpstreamSignal.Head,
     ) {
         end(end)
-        val length = arrived.headers.get("Content-Length")?.toLongOrNull()
+        val length = arrived.headers.get(CONTENT_LENGTH)?.toLongOrNull()
         if (length != null && length <= SMALL_BODY_BYTES) request(Long.MAX_VALUE) else cancel()
     }
 
@@ -227,6 +250,7 @@
         // A rejection of this size arrives together with its head; reading it costs less than a new connection.
         const val SMALL_BODY_BYTES = 4_096L
         const val EVENT_STREAM = "text/event-stream"
+        const val CONTENT_LENGTH = "Content-Length"
     }
 }
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EventFramer.kt
@@ -2,46 +2,54 @@
 
 /**
  * Splits a stream of server-sent events at event boundaries, so that a caller never has an incomplete event when a
- * stream breaks and is resumed or ends with an error. Buffers at most [MAXIMUM_EVENT_BYTES]; a longer event is sent in
- * parts.
+ * stream breaks and is resumed or ends with an error. Buffers at most [MAXIMUM_EVENT_BYTES]; a longer chat completion
+ * event is sent in parts. [precedingIdentifier] is the identifier of the event that a resumed stream continues after.
  */
 internal class EventFramer(
     private val framing: StreamFraming = StreamFraming.CompletionEvents,
+    precedingIdentifier: String? = null,
 ) {
+    private val numbered = NumberedEvents(precedingIdentifier)
+    private var contents = 0
     private var buffer = ByteArray(0)
 
     // The buffered bytes belong to one event that is not complete.
     private var buffered = 0
-    private var lastLine = ""
+    private var insideLongEvent = false
+    private var lastField = ""
 
     /** The number of events with text or, in numbered streams, with an identifier. Engines send one event per token. */
-    var tokens = 0
-        private set
+    val tokens: Int get() = contents + numbered.count
 
     /** The identifier of the newest complete event, or null if events have none. */
-    var lastEventIdentifier: String? = null
+    val lastEventIdentifier: String? get() = numbered.lastIdentifier
+
+    /** Why the stream cannot continue, or null. Nothing is accepted after it. */
+    var fault: InvalidEvent? = null
         private set
 
     /** The number of bytes received of an event that is not complete. */
     val unfinishedBytes: Int get() = buffered
 
     /**
-     * Whether the stream may end here: for chat completions, whether the last line is the end marker. A numbered stream
+     * Whether the stream may end here: for chat completions, whether the last field is the end marker. A numbered stream
      * has no end marker, so the end of its body counts only after an event, and not inside one.
      */
     val done: Boolean
         get() =
             when (framing) {
-                StreamFraming.CompletionEvents -> lastLine.trim() == "data: [DONE]"
+                StreamFraming.CompletionEvents -> lastField.trim() == "data: [DONE]"
                 StreamFraming.NumberedEvents -> tokens > 0 && unfinishedBytes == 0
             }
 
+    /** Returns the complete events that [bytes] ends or contains, up to the first one that is invalid. */
     fun accept(bytes: ByteArray): ByteArray {
+        if (fault != null) return NOTHING
         val searched = buffered
         append(bytes)
         val end = endOfCompleteEvents(searched)
-        if (end == 0 && buffered <= MAXIMUM_EVENT_BYTES) return ByteArray(0)
-        return take(if (end == 0) buffered else end).also(::inspect)
+        if (end > 0) return inspect(take(end))
+        return if (buffered <= MAXIMUM_EVENT_BYTES) NOTHING else acceptLong()
     }
 
     fun remainder(): ByteArray = take(buffered)
@@ -61,30 +69,49 @@
         return taken
     }
 
-    private fun inspect(events: ByteArray) {
-        val text = events.decodeToString()
-        when (framing) {
-            StreamFraming.CompletionEvents -> inspectCompletion(text)
-            StreamFraming.NumberedEvents -> inspectNumbered(text)
+    /** A numbered stream is resumed after an event and not inside one, so a part of an event is never sent. */
+    private fun acceptLong(): ByteArray {
+        if (framing == StreamFraming.NumberedEvents) {
+            fault = InvalidEvent("an event is longer than $MAXIMUM_EVENT_BYTES bytes")
+            return NOTHING
+        }
+        insideLongEvent = true
+        return take(buffered).also { countContents(it.toString(Charsets.ISO_8859_1)) }
+    }
+
+    /** Returns the leading events that are valid. */
+    private fun inspect(events: ByteArray): ByteArray {
+        // One character for each byte, so that lengths are the same.
+        val text = events.toString(Charsets.ISO_8859_1)
+        var start = 0
+        for (end in ends(text)) {
+            val event = text.substring(start, end)
+            fault = if (framing == StreamFraming.NumberedEvents) numbered.accept(event) else acceptCompletion(event)
+            if (fault != null) return events.copyOf(start)
+            start = end
         }
+        return events
     }
 
-    private fun inspectCompletion(text: String) {
+    private fun acceptCompletion(event: String): InvalidEvent? {
+        val fields = fieldsOf(event)
+        if (!insideLongEvent && !fields.all(::isField)) return InvalidEvent(NO_EVENT)
+        insideLongEvent = false
+        countContents(event)
+        lastField = fields.lastOrNull() ?: lastField
+        return null
+    }
+
+    private fun countContents(text: String) {
         var position = text.indexOf(CONTENT)
         while (position >= 0) {
-            tokens += 1
+            contents += 1
             position = text.indexOf(CONTENT, position + CONTENT.length)
         }
-        lastLine = text.trimEnd().substringAfterLast('\n')
     }
 
-    private fun inspectNumbered(text: String) {
-        for (line in text.lineSequence()) {
-            if (!line.startsWith(IDENTIFIER)) continue
-            tokens += 1
-            lastEventIdentifier = line.substring(IDENTIFIER.length).trim()
-        }
-    }
+    private fun ends(text: String): Sequence<Int> =
+        EVENT_END.findAll(text).map { it.range.last + 1 }.filter { it < text.length } + text.length
 
     /** Searches the buffer from [searched] on. */
     private fun endOfCompleteEvents(searched: Int): Int {
@@ -104,9 +131,10 @@
     private companion object {
         const val MAXIMUM_EVENT_BYTES = 1 shl 20
         const val CONTENT = "\"content\":"
-        const val IDENTIFIER = "id:"
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val LINE_FEED = '\n'.code.toByte()
+        val EVENT_END = Regex("\n\r?\n")
+        val NOTHING = ByteArray(0)
     }
 }
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -33,8 +33,23 @@
     private var answerStarted = false
     private var lastEventIdentifier: String? = null
 
+    // The stream has an event that the caller lacks, as an attempt that broke off has shown.
+    private var lacksEvent = false
+    private var endMarkerPassed = false
+
     val streamed: Boolean get() = request.streamed
     val framing: StreamFraming get() = request.format.framing
+
+    /** The identifier of the last event that the caller has, from this answer or from an earlier one. */
+    val precedingEventIdentifier: String? get() = lastEventIdentifier ?: request.resumesAfter
+
+    /** Whether the caller may have all events of the stream, so that an empty rest completes it. */
+    val mayHaveAllEvents: Boolean
+        get() =
+            when (framing) {
+                StreamFraming.CompletionEvents -> endMarkerPassed
+                StreamFraming.NumberedEvents -> !lacksEvent
+            }
     val answer: Mono<CallerAnswer> get() = answered.asMono()
 
     /** Called on the control thread: registers the attempt at once, so that a later cancellation always finds it. */
@@ -88,6 +103,7 @@
     ) {
         if (attempt !== current) return
         lastEventIdentifier = attempt.lastEventIdentifier ?: lastEventIdentifier
+        endMarkerPassed = attempt.mayEnd
         relay?.next(events)
     }
 
@@ -125,7 +141,7 @@
     }
 
     /** Whether the caller already has the events before the ones that [attempt] asks for. */
-    fun resumes(attempt: Attempt): Boolean = request.resumesStream || attempt.effect.resume != null
+    fun resumes(attempt: Attempt): Boolean = request.resumesAfter != null || attempt.effect.resume != null
 
     fun classifyReply(head: UpstreamSignal.Head): UpstreamReply =
         request.format.classifyReply(head.status, head.headers)
@@ -166,7 +182,10 @@
         "unfinished_bytes" to unfinishedBytes,
     )
 
-    fun attemptEnded(attempt: Attempt) = activeExchanges.remove(attempt)
+    fun attemptEnded(attempt: Attempt) {
+        if (attempt === current) lacksEvent = attempt.brokeOffBeforeEvent || lacksEvent && !attempt.passedEvents
+        activeExchanges.remove(attempt)
+    }
 
     fun callerLeft() {
         activeExchanges.report(EntryEvent.CallerLeft(number))
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -35,6 +35,7 @@
     const val PRIORITY_HEADER = "test-priority"
     const val IDENTIFIER_HEADER = "test-identifier"
     const val LAST_EVENT_HEADER = "test-last-event"
+    const val NOT_RUN_HEADER = "test-not-run"
     private const val SERVICE_LEVEL = "level"
     private val settings =
         EntrySettings(
@@ -53,7 +54,13 @@
                 ),
         )
 
-    fun protocol(classifyReply: (String, Int, HttpHeaders) -> UpstreamReply = { _, _, _ -> UpstreamReply.Accepted }) =
+    private fun acceptUnlessNotRun(
+        @Suppress("UNUSED_PARAMETER") identifier: String,
+        @Suppress("UNUSED_PARAMETER") status: Int,
+        headers: HttpHeaders,
+    ): UpstreamReply = if (headers.contains(NOT_RUN_HEADER)) UpstreamReply.Rejected(null) else UpstreamReply.Accepted
+
+    fun protocol(classifyReply: (String, Int, HttpHeaders) -> UpstreamReply = ::acceptUnlessNotRun) =
         ExchangeProtocol(
             readCallerHeaders = {
                 CallerHeaders(
@@ -63,7 +70,7 @@
                     100,
                     10,
                     emptyList(),
-                    null,
+                    it.get(LAST_EVENT_HEADER),
                 )
             },
             writeUpstreamHeaders = { call ->
