Give up a poll of the list that does not end

Seen: after one poll that never ended, or one that threw while it started, the entry never asked for the list again.

Cause: polls run one at a time without a bound in time, and an exception from the listing function ended the ticks.

Evidence, before the change: UpstreamListPollsTest.a poll that never ends does not stop later polls:26 expected: <[1014, 1015]> but was: <[]> UpstreamListPollsTest.a poll that throws does not stop later polls:39 expected: <10> but was: <1>

Change: a poll ends with an error after 3 s, and the listing function is called within the poll. Tests set the scheduler and so run in virtual time.

Result: both tests pass; the failure is logged as event 1014 and the recovery as 1015.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamListPolls.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamListPolls.kt
@@ -6,6 +6,8 @@
 import reactor.core.Disposable
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
+import reactor.core.scheduler.Scheduler
+import reactor.core.scheduler.Schedulers
 import java.time.Duration
 
 /** Polls the platform for its list of upstreams. If a poll fails, the last list stays in effect. */
@@ -13,6 +15,7 @@
     private val listing: UpstreamListing,
     private val send: (EntryEvent) -> Unit,
     private val log: EventLog,
+    private val scheduler: Scheduler = Schedulers.parallel(),
 ) : AutoCloseable {
     private var ticks: Disposable? = null
 
@@ -23,7 +26,7 @@
     fun start() {
         ticks =
             Flux
-                .interval(Duration.ZERO, TICK_INTERVAL)
+                .interval(Duration.ZERO, TICK_INTERVAL, scheduler)
                 .onBackpressureDrop()
                 .filter { !listed || it % TICKS_PER_POLL == 0L }
                 .concatMap({ ask() }, 1)
@@ -31,7 +34,9 @@
     }
 
     private fun ask(): Mono<Void> =
-        listing()
+        Mono
+            .defer { listing() }
+            .timeout(POLL_TIME_LIMIT, scheduler)
             .doOnNext {
                 listed = true
                 recordRecovery(it.size)
@@ -61,6 +66,9 @@
     }
 
     private companion object {
+        // Polls run one at a time, so one that never ends would be the last.
+        val POLL_TIME_LIMIT: Duration = Duration.ofSeconds(3)
+
         // An entry without a list cannot serve requests, so it polls on every tick until it has the first list.
         val TICK_INTERVAL: Duration = Duration.ofMillis(500)
 
