--- a/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
@@ -203,7 +203,9 @@
     return listOf(OutOfRange(field, value.toLong(), minimum.toLong(), maximum.toLong()))
 }
 
-private const val MAXIMUM_SLOTS = 4_096
+/** The highest number of slots that an upstream may have. */
+const val MAXIMUM_SLOTS = 4_096
+
 private const val MAXIMUM_QUEUE_REQUESTS = 100_000
 private const val MAXIMUM_QUEUE_BYTES = 1L shl 30
 private const val MAXIMUM_TARGET_MILLISECONDS = 24L * 60 * 60 * 1_000
