Refuse deeply nested model requests in every part

Seen: the caller of a model request with a field of 100,000 nested objects got no answer within 60 s.

Cause: only an overflow of the stack while the body is parsed was caught. Deeply nested objects are parsed without recursion and overflow the stack when the request is written again.

Evidence, before the change: HostileInputTest.deeply nested bodies are refused:90 HttpTimeout request timed out

Result: the test passes for nested arrays and objects as the body, a field, a message and the content of a message.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ModelRequest.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ModelRequest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import hawthorncrank.common.parseBounded
 import hawthorncrank.entry.core.RequestTarget
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -41,7 +42,7 @@
         private val RESERVED_FIELDS = setOf("priority", "resume_token", "resume_offset")
 
         fun parse(body: ByteArray): Result<ModelRequest, Rejection> {
-            val fields = decode(body) ?: return rejected("the body is not a JSON object")
+            val fields = decode(body) ?: return rejected("the body is not a JSON object, or nested too deeply")
             val model = fields.primitive("model")?.takeIf { it.isString }?.contentOrNull
             if (model.isNullOrEmpty()) return rejected("the field \"model\" is missing or not a string")
             val messages = fields["messages"] as? JsonArray ?: return rejected("the field \"messages\" is not an array")
@@ -56,14 +57,11 @@
             return Ok(ModelRequest(fields, target, fields.primitive("stream")?.booleanOrNull ?: false))
         }
 
-        // The parser is recursive, so a deeply nested document causes a StackOverflowError.
         private fun decode(body: ByteArray): JsonObject? =
             try {
-                Json.parseToJsonElement(body.decodeToString()) as? JsonObject
+                Json.parseBounded(body.decodeToString()) as? JsonObject
             } catch (_: SerializationException) {
                 null
-            } catch (_: StackOverflowError) {
-                null
             }
 
         private fun rejected(detail: String) = Err(Rejection.InvalidModelRequest(detail))
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/HostileInputTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/HostileInputTest.kt
@@ -79,6 +79,18 @@
             .forEach { assertEquals(400, entry.post("/v1/chat/completions", it).status, it.take(30)) }
     }
 
+    /** An overflow of the stack while a request is parsed or written again leaves its caller without an answer. */
+    @Test
+    fun `deeply nested bodies are refused`() {
+        val arrays = "[".repeat(100_000) + "]".repeat(100_000)
+        val objects = """{"a":""".repeat(100_000) + "1" + "}".repeat(100_000)
+        listOf(arrays, objects).forEach { nested ->
+            listOf(nested, CHAT.replaceFirst("{", "{\"user\":$nested,"), """{"model":"m","messages":[$nested]}""")
+                .plus("""{"model":"m","messages":[{"role":"user","content":$nested}]}""")
+                .forEach { assertEquals(400, entry.post("/v1/chat/completions", it).status, it.take(60)) }
+        }
+    }
+
     @Test
     fun `wrong keys, classes, paths and deadlines are refused`() {
         fun status(vararg headers: String) =
