Ignore load reports with values out of range

The sum of running and queued requests can overflow, and the engine then appears to have free slots.

Cause: only the types of the fields were checked.

Evidence, before the change: UpstreamHeadersTest.a load report with a value out of range is ignored:20 running -1 ==> expected: <null> but was: <LoadReport(sequence=1, running=-1, queued=3, slots=4, tokenIntervalMilliseconds=5.5)>

Change: a report with counts outside 0 to 1,000,000 or a negative token interval is ignored like a malformed one.

Result: the test passes. The router's choice by such a report was not run.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamHeaders.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamHeaders.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry.internal
 
+import hawthorncrank.common.decodeBounded
 import hawthorncrank.entry.core.LoadReport
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -27,10 +28,10 @@
         else -> BodyDelimiter.CONNECTION
     }
 
-/** Parses an engine's load report; returns null when it is absent or malformed. */
+/** Parses an engine's load report; returns null when it is absent, malformed or out of range. */
 internal fun parseLoad(text: String?): LoadReport? =
     try {
-        text?.let { lenient.decodeFromString<ReportedLoad>(it) }?.let {
+        text?.let { lenient.decodeBounded<ReportedLoad>(it) }?.let {
             LoadReport(it.sequence, it.running, it.queued, it.slots, it.tokenInterval)
         }
     } catch (_: IllegalArgumentException) {
@@ -54,7 +55,16 @@
     val slots: Int,
     @SerialName("token_interval")
     val tokenInterval: Double? = null,
-)
+) {
+    init {
+        require(running in 0..MAXIMUM_REQUESTS && queued in 0..MAXIMUM_REQUESTS) { "requests out of range" }
+        require(slots in 0..MAXIMUM_REQUESTS) { "slots out of range" }
+        require(tokenInterval == null || tokenInterval >= 0) { "token interval out of range" }
+    }
+}
+
+// Far above what an engine holds, and sums over a fleet of engines do not overflow.
+private const val MAXIMUM_REQUESTS = 1_000_000
 
 private val CONNECTION_HEADERS =
     setOf(
