Read the answers of engines up to a limit

Seen: an engine whose load report never ends sent 114,114,560 bytes in two polls, all of which the entry collected.

Cause: the answers to polls and orders were aggregated without a limit, as far as they arrived within the time limit.

Change: answers to polls are read up to 8 MiB and answers to orders up to 1 MiB, and both are checked for their nesting. Deeply nested answers to polls did no harm before, since their types have no field of any form.

Result: the test passes, with a bound of 64 MiB for what the engine may have sent ahead. An endless answer to an order was not run.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/OrderClient.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/OrderClient.kt
@@ -1,5 +1,7 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.common.joinBounded
+import hawthorncrank.common.parseBounded
 import hawthorncrank.protocol.EngineOrder
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.buildJsonObject
@@ -8,6 +10,7 @@
 import kotlinx.serialization.json.long
 import kotlinx.serialization.json.put
 import reactor.core.publisher.Mono
+import reactor.netty.ByteBufFlux
 import reactor.netty.ByteBufMono
 import reactor.netty.http.client.HttpClient
 import java.time.Duration
@@ -33,7 +36,8 @@
         client
             .get()
             .uri("$address/admin/state")
-            .responseSingle { response, body -> body.text().map { version(response.status().code(), it) } }
+            .response { response, body -> body.text().map { version(response.status().code(), it) } }
+            .singleOrEmpty()
             .flatMap { version -> postOn(address, effect, version) }
             .timeout(Duration.ofMillis(ORDER_MILLISECONDS))
             .onErrorResume { Mono.just(OrderAnswer.Unreachable(it.message ?: it.javaClass.simpleName)) }
@@ -46,7 +50,7 @@
     ): Long {
         check(status == HTTP_OK) { "the engine answered its state with status $status" }
         return Json
-            .parseToJsonElement(body)
+            .parseBounded(body)
             .jsonObject
             .getValue("version")
             .jsonPrimitive.long
@@ -63,7 +67,7 @@
             .post()
             .uri("$address/admin/orders")
             .send(ByteBufMono.fromString(Mono.just(json(effect, version, expiresAt))))
-            .responseSingle { response, body ->
+            .response { response, body ->
                 body.text().map { text ->
                     val status = response.status().code()
                     when {
@@ -75,7 +79,7 @@
                         else -> OrderAnswer.Unreachable("status $status")
                     }
                 }
-            }
+            }.singleOrEmpty()
     }
 
     private fun json(
@@ -99,13 +103,15 @@
         }.toString()
     }
 
-    private fun ByteBufMono.text(): Mono<String> = asString().defaultIfEmpty("")
+    private fun ByteBufFlux.text(): Mono<String> =
+        asByteArray().joinBounded(MAXIMUM_ANSWER_BYTES).map { it.decodeToString() }
 
     private companion object {
         const val RESPONSE_MILLISECONDS = 1_000L
         const val ORDER_MILLISECONDS = 3_000L
         const val HTTP_OK = 200
         const val DETAIL_CHARACTERS = 200
+        const val MAXIMUM_ANSWER_BYTES = 1 shl 20
         val CLIENT_ERRORS = 400..499
     }
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ActiveExchanges.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ActiveExchanges.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry.internal
 
+import hawthorncrank.common.decodeBounded
 import hawthorncrank.entry.core.EntryEvent
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -51,7 +52,7 @@
 /** The number of generated tokens that an engine reports in a complete answer, or 0. */
 internal fun generatedTokens(answer: CompleteAnswer): Int =
     try {
-        lenient.decodeFromString<AnswerWithUsage>(answer.body.decodeToString()).usage?.completionTokens ?: 0
+        lenient.decodeBounded<AnswerWithUsage>(answer.body.decodeToString()).usage?.completionTokens ?: 0
     } catch (_: IllegalArgumentException) {
         0
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamPolls.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamPolls.kt
@@ -1,6 +1,8 @@
 package hawthorncrank.entry.internal
 
 import hawthorncrank.common.EventLog
+import hawthorncrank.common.decodeBounded
+import hawthorncrank.common.joinBounded
 import hawthorncrank.entry.core.CacheChange
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.protocol.Upstream
@@ -86,7 +88,7 @@
     private fun cacheEvents(engine: Upstream): Mono<*> {
         val after = newestCacheEvents[engine.name] ?: 0
         return get("http://${engine.address}/cache-events?after=$after").doOnNext { text ->
-            lenient.decodeFromString<CacheEvents>(text).events.sortedBy { it.sequence }.forEach { event ->
+            lenient.decodeBounded<CacheEvents>(text).events.sortedBy { it.sequence }.forEach { event ->
                 newestCacheEvents[engine.name] = event.sequence
                 val change = CacheChange(event.sequence, event.stored.map(::digest), event.evicted.map(::digest))
                 send(EntryEvent.CacheChanged(engine.name, change))
@@ -96,7 +98,7 @@
 
     private fun members(address: String): Mono<*> =
         get("http://$address/members").doOnNext { text ->
-            val members = lenient.decodeFromString<Members>(text)
+            val members = lenient.decodeBounded<Members>(text)
             send(EntryEvent.MembershipReported(members.live.toSet(), members.leaving.toSet()))
         }
 
@@ -104,9 +106,12 @@
         client
             .get()
             .uri(uri)
-            .responseSingle { response, body ->
-                if (response.status().code() == HTTP_OK) body.asString() else Mono.empty()
-            }.timeout(POLL_TIME_LIMIT)
+            .response { response, body ->
+                val bytes = body.asByteArray().joinBounded(MAXIMUM_ANSWER_BYTES)
+                if (response.status().code() == HTTP_OK) bytes.filter { it.isNotEmpty() } else Mono.empty()
+            }.singleOrEmpty()
+            .map { it.decodeToString() }
+            .timeout(POLL_TIME_LIMIT)
 
     private fun connects(address: String): Mono<Boolean> =
         TcpClient
@@ -153,5 +158,6 @@
         val POLL_INTERVAL: Duration = Duration.ofSeconds(1)
         val POLL_TIME_LIMIT: Duration = Duration.ofSeconds(1)
         const val HEXADECIMAL = 16
+        const val MAXIMUM_ANSWER_BYTES = 8 shl 20
     }
 }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamPollsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamPollsTest.kt
@@ -5,12 +5,15 @@
 import hawthorncrank.entry.core.LoadReport
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
+import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
 import java.net.ServerSocket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 class UpstreamPollsTest {
     private val events = LinkedBlockingQueue<EntryEvent>()
@@ -62,6 +65,31 @@
         engine.close()
     }
 
+    /** An answer without an end, which is sent as fast as it is read, would fill the memory. */
+    @Test
+    fun `deeply nested and endless answers are ignored`() {
+        val nested = "[".repeat(100_000) + "]".repeat(100_000)
+        val part = " ".repeat(PART_BYTES)
+        val endlessBytes = AtomicLong()
+        val endless = Flux.generate<String> { it.next(part) }.doOnNext { endlessBytes.addAndGet(it.length.toLong()) }
+        val engine =
+            FakeUpstream { request, response, _ ->
+                when (request.uri()) {
+                    "/members" -> response.sendString(Mono.just("""{"live":[],"leaving":[]}"""))
+                    "/load" -> response.sendString(endless)
+                    else -> response.sendString(Mono.just("""{"events":[],"labels":$nested}"""))
+                }
+            }
+        polls(engine.port).use { polls ->
+            polls.start()
+            repeat(2) {
+                assertEquals(EntryEvent.MembershipReported(emptySet(), emptySet()), events.poll(10, TimeUnit.SECONDS))
+            }
+        }
+        engine.close()
+        assertTrue(endlessBytes.get() < MOST_BYTES_OF_TWO_POLLS, "$endlessBytes bytes were sent")
+    }
+
     @Test
     fun `probes distinguish reachable from unreachable upstreams`() {
         val engine = FakeUpstream.answering(200, "{}")
@@ -88,4 +116,9 @@
         val view = ConfigurationView(1, EntryFixture.CONFIGURATION.copy(upstreams = upstreams))
         return UpstreamPolls("zone-1", "127.0.0.1:$port", { view }, events::add, EntryFixture.SILENT)
     }
+
+    private companion object {
+        const val PART_BYTES = 4 * 1024
+        const val MOST_BYTES_OF_TWO_POLLS = 64L shl 20
+    }
 }
