Limit the token counts that callers state

Seen: a request that states tokens and parts of that size counted as -2 shared tokens.

Cause: the counts of the headers entered sums of the router without a limit; such sums overflow.

Evidence, before the change: RoutedRequestReaderTest.token counts out of range are limited:28 expected: <> but was: <(, -2)>

Change: a prompt counts for 0 to 10,000,000 tokens, and its shared part for at most the whole prompt.

Result: the test passes. The router's choice with such counts was not run.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -53,19 +53,23 @@
         )
     }
 
-    private fun target(service: String): RequestTarget =
-        if (view.servesModels(service)) {
+    private fun target(service: String): RequestTarget {
+        val promptTokens = caller.promptTokens.coerceIn(0, MAXIMUM_PROMPT_TOKENS)
+        return if (view.servesModels(service)) {
             RequestTarget.Model(
                 model = service,
-                promptTokens = caller.promptTokens,
+                promptTokens = promptTokens,
                 maximumTokens = caller.maximumTokens,
                 prefixBlocks = prefixBlocks(caller.promptParts),
-                // The last part is specific to this request and not shared.
-                sharedTokens = caller.promptParts.dropLast(1).sumOf { it.tokens },
+                sharedTokens = sharedTokens().coerceIn(0, promptTokens.toLong()).toInt(),
             )
         } else {
             RequestTarget.Service(service, idempotent, idempotencyKey = null)
         }
+    }
+
+    // The last part is specific to this request and not shared.
+    private fun sharedTokens(): Long = caller.promptParts.dropLast(1).sumOf { it.tokens.toLong() }
 
     /** Chained digests of the prompt's parts: a part can be shared only if all parts before it are shared. */
     private fun prefixBlocks(parts: List<PromptPart>): List<Long> {
@@ -130,6 +134,7 @@
 
     private companion object {
         const val HEXADECIMAL = 16
+        const val MAXIMUM_PROMPT_TOKENS = 10_000_000
 
         // Any odd factor keeps different chains distinct; the bits of this one are well distributed.
         const val DIGEST_FACTOR = -0x2e5b_e9b4_6a3d_4d2bL
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -51,7 +51,7 @@
                 ),
         )
 
-    private val protocol =
+    val protocol =
         ExchangeProtocol(
             readCallerHeaders = {
                 CallerHeaders("attempt", it.get("test-key"), it.get("test-time")?.toLong(), 100, 10, emptyList(), null)
@@ -114,7 +114,7 @@
             tier = tier,
         )
 
-    private fun configuration(
+    fun configuration(
         routes: List<RequestRoute>,
         organisation: Organisation,
     ) = Configuration(
