Refuse settings that are nested too deeply

Seen, in a trial: an array of 100,000 levels in a settings file ended its reader with a StackOverflowError, and a key of 20,000 parts with "OutOfMemoryError: Java heap space". The same reader follows changes of the file while a process runs.

Cause: the TOML parser is recursive, and only its own exceptions are caught.

Evidence, before the change: SettingsTest.deeply nested settings are an error: StackOverflow

Result: the test passes.

--- a/common/src/main/kotlin/hawthorncrank/common/BoundedJson.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/BoundedJson.kt
@@ -36,5 +36,5 @@
     }
 }
 
-private const val MAXIMUM_NESTING = 100
+internal const val MAXIMUM_NESTING = 100
 private const val NESTED_TOO_DEEPLY = "the JSON is nested deeper than $MAXIMUM_NESTING levels"
--- a/common/src/main/kotlin/hawthorncrank/common/Settings.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/Settings.kt
@@ -31,6 +31,15 @@
     file: String,
     text: String,
     deserializer: DeserializationStrategy<T>,
+): Result<T, SettingsFailure> {
+    if (isNestedTooDeeply(text)) return Err(SettingsFailure.MalformedFile(file, NESTED_TOO_DEEPLY))
+    return decode(file, text, deserializer)
+}
+
+private fun <T> decode(
+    file: String,
+    text: String,
+    deserializer: DeserializationStrategy<T>,
 ): Result<T, SettingsFailure> =
     try {
         Ok(toml.decodeFromString(deserializer, text))
@@ -42,6 +51,20 @@
         Err(addSettingsKey(text, describe(file, failure.message.orEmpty())))
     }
 
+// The parser is recursive, and an overflow of the stack would end the thread that reads changed settings. Brackets in
+// strings and comments count too; settings that are in use have far fewer.
+private fun isNestedTooDeeply(text: String): Boolean {
+    if (DEEP_KEY.containsMatchIn(text)) return true
+    var depth = 0
+    return text.any { character ->
+        when (character) {
+            '[', '{' -> depth++
+            ']', '}' -> depth = maxOf(0, depth - 1)
+        }
+        depth > MAXIMUM_NESTING
+    }
+}
+
 private fun describe(
     file: String,
     detail: String,
@@ -56,6 +79,8 @@
     return SettingsFailure.UnknownKey(file, unknownKey.groupValues[1])
 }
 
+private const val NESTED_TOO_DEEPLY = "it is nested deeper than $MAXIMUM_NESTING levels"
+private val DEEP_KEY = Regex("""(?<![\w-])(?:[\w-]++["']?\s*+\.\s*+["']?){$MAXIMUM_NESTING}""")
 private val MISSING_KEY = Regex("""Missing required property <([^>]+)>""")
 private val UNKNOWN_KEY = Regex("""(?i)unknown key[^<\["']*[<\["']([^>\]"']+)""")
 private val toml = Toml(inputConfig = TomlInputConfig(ignoreUnknownNames = false))
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
@@ -40,6 +40,21 @@
         assertEquals(1, failure.message.lines().size)
     }
 
+    /** An overflow of the parser's stack or memory would end the thread that reads changed settings. */
+    @Test
+    fun `deeply nested settings are an error`() {
+        listOf(
+            "control = " + "[".repeat(100_000) + "]".repeat(100_000),
+            "control = " + "{a = ".repeat(20_000) + "1" + "}".repeat(20_000),
+            "[" + "a.".repeat(20_000) + "a]\nb = 1",
+            "a.".repeat(20_000) + "a = 1",
+            "\"a\" . ".repeat(20_000) + "a = 1",
+        ).forEach { text ->
+            val failure = decodeSettings("f.toml", text, EntryProgramSettings.serializer()).getError()
+            assertContains(assertIs<SettingsFailure.MalformedFile>(failure).message, "nested", message = text.take(20))
+        }
+    }
+
     @Test
     fun `an error names the setting with an invalid value`() {
         mapOf(
