--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -143,7 +143,7 @@
             tier = tier,
         )
 
-    private fun configuration(
+    fun configuration(
         routes: List<RequestRoute>,
         organisation: Organisation,
     ) = Configuration(
