Let confirmations of the configuration expire within the contact time

Cause: a confirmation was valid for nine tenths of the time in which a revoked key must be refused, 4.5 s, longer than the 4 s after a cut from which machines must obey what the majority accepts. The replica kept the links of its entries for up to 4 s: it counted 2.1 s from the moment when it gave up its leader, up to 1.4 s after it last heard from it, and looked every 0.5 s.

A confirmation now expires within nine tenths of the shorter of key_revocation and the new setting contact_time, here 3.6 s. A read that confirms needs a majority after the question, so a replica that is cut off confirms no question that was asked after the cut. So that entries do not refuse requests because of the shorter time, a replica closes their links 2.8 s after its last contact with a leader (twice the longest election timeout), at the tick.

The test in ControlGroupTest added the delay to the longest election timeout (bound 4 s), although the delay now contains the detection. It measures the release in virtual time instead, for leader and follower at ten offsets, with the stricter bound of 3.1 s; it fails on the former release.

The messages of the virtual group take no time.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
@@ -18,6 +18,9 @@
     val appliedIndex: Long
     val lastIndex: Long
 
+    /** The time of the last message from a leader that this replica followed, or of its start if there was none. */
+    val leaderHeardAt: Long
+
     /**
      * The time at which this replica, as leader, sent the newest broadcast that a majority has answered. Null if there
      * is none or if it is not the leader. No other replica can become leader until the minimum election timeout has
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
@@ -26,7 +26,7 @@
     val syncedIndex: Long,
     val randomSeed: Long,
     val nextForwardNumber: Long,
-    val leaderHeardAt: Long,
+    override val leaderHeardAt: Long,
     val electionDeadline: Long,
     val phase: Phase = Following(null),
     val lastToken: Long = 0,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -163,12 +163,12 @@
 }
 
 /**
- * How many milliseconds a replica without a leader keeps the links of entries. By then an election that succeeds in its
- * second round is over, and the last confirmation of the configuration that an entry received is still recent enough
- * when the entry links to another replica.
+ * How many milliseconds after its last contact with a leader a replica keeps the links of entries. By then an election
+ * that succeeds in its second round is over, and the last confirmation of the configuration that an entry received is
+ * still recent enough when the entry links to another replica.
  */
 internal fun entryReleaseDelay(settings: ReplicaSettings): Long =
-    minOf(MAXIMUM_ENTRY_RELEASE_DELAY_MILLISECONDS, settings.electionTimeoutMaximum + settings.electionTimeoutMinimum)
+    minOf(MAXIMUM_ENTRY_RELEASE_DELAY_MILLISECONDS, 2 * settings.electionTimeoutMaximum)
 
 private fun replicaSettings(
     settings: ControlSettings,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -106,9 +106,9 @@
     startConfirmation()
     expireExplanations()
     judgeSuspects()
+    closeLinksWithoutLeader()
     if (now < state.nextDutiesAt) return
     state = state.copy(nextDutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
-    closeLinksWithoutLeader()
     reportLostEntries()
     measureLag()
     leaderDuties()
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.consensus.ReplicaRole
 import hawthorncrank.control.ControlOperation
 import hawthorncrank.protocol.EntryToControl
 
@@ -173,20 +174,28 @@
 }
 
 /**
- * Closes the links of entries when this replica has known no leader for too long: the entries could neither claim nor
- * receive changes here, while other replicas may have a leader. A replica that is not needed as a voter has no leader
- * either.
+ * Closes the links of entries when this replica has had no contact with a leader for too long: the entries could
+ * neither claim nor receive changes here, while other replicas may have a leader. A replica that is not needed as a
+ * voter has no leader either.
  */
 internal fun ControlStep.closeLinksWithoutLeader() {
-    val hasLeader = state.replica.leader != null
-    val since = state.leaderlessSince ?: now
-    state = state.copy(leaderlessSince = if (hasLeader) null else since)
-    if (hasLeader || now - since < state.entryReleaseDelay) return
+    if (state.replica.leader != null) {
+        state = state.copy(leaderContactAt = leaderContactAt())
+        return
+    }
+    if (now - state.leaderContactAt < state.entryReleaseDelay) return
     state.entryLinks
         .filterValues { now - it.openedAt >= state.entryReleaseDelay }
         .forEach { (link, _) -> emit(ControlEffect.CloseLink(link)) }
 }
 
+/** A leader does not follow, so it counts the answers of a majority instead. */
+private fun ControlStep.leaderContactAt(): Long {
+    val replica = state.replica
+    val leads = replica.role == ReplicaRole.LEADER
+    return if (leads) replica.majorityContactAt ?: now else replica.leaderHeardAt
+}
+
 /** Records which entries have not applied the current version, so that status and logs can name them. */
 internal fun ControlStep.measureLag() {
     val version = state.control.version
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -13,8 +13,9 @@
 
 /**
  * The state of one control process: its replica, the group's state as applied here, and the requests in progress.
- * [clockAppliedAt] is when the replicated clock last advanced here. [nonce] differs between starts and makes the
- * identifiers of this process's own commands unique.
+ * [clockAppliedAt] is when the replicated clock last advanced here. [leaderContactAt] is when this replica last heard
+ * from the leader or, as leader, from a majority. [nonce] differs between starts and makes the identifiers of this
+ * process's own commands unique.
  */
 internal data class ProcessState(
     val replica: ReplicaState,
@@ -33,7 +34,7 @@
     val nextExplanation: Long = 1,
     val explanations: PersistentMap<Long, PendingExplanation> = persistentMapOf(),
     val leaderSince: Long? = null,
-    val leaderlessSince: Long? = null,
+    val leaderContactAt: Long = startedAt,
     val orderAttempts: PersistentMap<String, OrderAttempt> = persistentMapOf(),
     val nextDutiesAt: Long = 0,
     val stopping: Boolean = false,
@@ -42,7 +43,7 @@
      * stored on a single disk.
      */
     val requiredVoters: Int = 1,
-    /** The links of entries are closed when this replica has known no leader for this many milliseconds. */
+    /** The links of entries are closed when this replica has had no contact with a leader for this many milliseconds. */
     val entryReleaseDelay: Long = MAXIMUM_ENTRY_RELEASE_DELAY_MILLISECONDS,
 ) {
     /** This process's estimate of the replicated clock, which never runs ahead of real time. */
--- a/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ControlGroupTest.kt
@@ -84,14 +84,22 @@
 
     /**
      * If entries stayed linked to a cut-off replica for too long, their confirmation would expire and they would refuse
-     * all requests. A confirmation is valid for 4.5 s and renewed every 0.5 s, and the replica notices the loss of its
-     * leader after one election timeout at most.
+     * all requests. A confirmation is valid for 3.6 s and renewed every 0.5 s.
      */
     @Test
     fun `with the platform's election timeout entries are released before their confirmation expires`() {
-        val settings = ReplicaSettings(emptyList(), electionTimeoutMinimum = 700, electionTimeoutMaximum = 1_400)
-        val released = settings.electionTimeoutMaximum + entryReleaseDelay(settings)
-        assertTrue(released <= 4_500 - 500, "released after $released ms")
+        val timeouts = ReplicaSettings(emptyList(), electionTimeoutMinimum = 700, electionTimeoutMaximum = 1_400)
+        listOf(VirtualGroup::leader, VirtualGroup::follower).forEach { choose ->
+            (0L..900L step 100).forEach { offset ->
+                val group = VirtualGroup(3, timeouts = timeouts.copy(heartbeatInterval = 200))
+                val cutOff = choose(group)
+                group.entry(cutOff, 1, EntryToControl.EntryHello("entry-1", "zone", 0))
+                group.run(5_000 + offset)
+                group.cut(cutOff)
+                group.run(3_600 - 500)
+                assertContains(group.closedLinks, 1, "$cutOff, cut off at $offset ms, keeps its entries")
+            }
+        }
     }
 
     /** Otherwise entries would wait forever at a replica that was never admitted to the group. */
--- a/control/src/test/kotlin/hawthorncrank/control/internal/ReplaceConfigurationTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/ReplaceConfigurationTest.kt
@@ -127,7 +127,8 @@
 
     /**
      * If the request waited for a leader that has frozen while another one leads, all entries of the replica would
-     * refuse everything. A confirmation is valid for 4.5 s, and entries request one every 0.5 s.
+     * refuse everything. Without a contact time a confirmation is valid for 4.5 s, and entries request one every
+     * 0.5 s.
      */
     @Test
     fun `a confirmation request sent to a frozen leader is answered by the next one before the confirmation expires`() {
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -22,6 +22,7 @@
     size: Int,
     private val requiredVoters: Int = 1,
     initialMembers: List<String>? = null,
+    private val timeouts: ReplicaSettings = ReplicaSettings(emptyList()),
 ) {
     private val names = List(size) { "control-${it + 1}" }
     private val peers = names.map { ReplicaPeer(it, address(it)) }
@@ -43,14 +44,20 @@
 
     init {
         nodes.values.forEach { node ->
-            val settings = ReplicaSettings(peers.filter { it.name != node.name })
+            val settings = timeouts.copy(peers = peers.filter { it.name != node.name })
             val replica = replicaReducer(settings)
             val seed = node.name.hashCode().toLong()
             val started =
                 startReplica(settings, node.name, address(node.name), RecoveredReplica(node.name + "-id"), seed, now)
             node.reducer = controlReducer(replica)
             node.state =
-                ProcessState(started.state, nonce = node.name, startedAt = now, requiredVoters = requiredVoters)
+                ProcessState(
+                    started.state,
+                    nonce = node.name,
+                    startedAt = now,
+                    requiredVoters = requiredVoters,
+                    entryReleaseDelay = entryReleaseDelay(settings),
+                )
             val transition = startedProcess(replica, node.state, started.effects, now)
             node.state = transition.state
             transition.effects.forEach { carryOut(node, it) }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
@@ -37,6 +37,15 @@
         assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(2, AT_MOST_ONCE).refusal())
     }
 
+    /** An entry would use a revoked key, or after a cut an older configuration, for too long. */
+    @Test
+    fun `a confirmation expires before the revocation time and the contact time have passed`() {
+        assertEquals(3_600, confirmationLifetime(keyRevocation = 5_000, contactTime = 4_000))
+        assertEquals(3_600, confirmationLifetime(keyRevocation = 4_000, contactTime = 5_000))
+        assertEquals(4_500, confirmationLifetime(keyRevocation = 5_000, contactTime = null))
+        assertEquals(null, confirmationLifetime(keyRevocation = null, contactTime = 4_000))
+    }
+
     @Test
     fun `a confirmation of a newer version does not confirm the one in force`() {
         scenario.passUnconfirmed(4_400)
--- a/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
@@ -7,6 +7,7 @@
 import hawthorncrank.common.SettingsFailure
 import hawthorncrank.entry.core.EntryBehaviour
 import hawthorncrank.entry.core.EntrySettings
+import hawthorncrank.entry.core.confirmationLifetime
 import hawthorncrank.entry.core.entryReducer
 import hawthorncrank.entry.core.initialEntryState
 import hawthorncrank.entry.internal.EntryProcess
@@ -75,8 +76,7 @@
         EntryBehaviour()
     } else {
         EntryBehaviour(
-            // The remaining tenth of the revocation time is for sending a checked request to the upstream.
-            confirmationLifetime = settings.keyRevocation?.let { it.value * 9 / 10 },
+            confirmationLifetime = confirmationLifetime(settings.keyRevocation?.value, settings.contactTime?.value),
             acceptAfterStop = settings.drainTime?.value ?: 0,
             brokenConnectionIsCrash = false,
             connectFailuresToExclude = 1,
--- a/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
@@ -36,6 +36,9 @@
     val zones: List<ZoneLocation> = emptyList(),
     @SerialName("key_revocation")
     val keyRevocation: Milliseconds? = null,
+    /** The time after a network cut from which an entry that reaches a majority of replicas must obey their versions. */
+    @SerialName("contact_time")
+    val contactTime: Milliseconds? = null,
     @SerialName("drain_time")
     val drainTime: Milliseconds? = null,
     val heartbeat: Milliseconds? = null,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.unwrap
+import hawthorncrank.common.Milliseconds
 import hawthorncrank.common.SettingsFailure
 import hawthorncrank.common.decodeSettings
 import hawthorncrank.common.loadSettings
@@ -14,6 +15,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Path
+import kotlin.io.path.readText
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -31,6 +33,14 @@
         }
     }
 
+    /** Without it, a confirmation of the configuration would outlast the time until the entry must obey a new one. */
+    @Test
+    fun `the contact time is read with its unit`() {
+        val sample = Path.of("..", "samples", "caroni", "entry-1.toml").readText()
+        val settings = decodeSettings("f.toml", "contact_time = \"4 s\"\n$sample", EntryProgramSettings.serializer())
+        assertEquals(Milliseconds(4_000), settings.unwrap().contactTime)
+    }
+
     @Test
     fun `an error names an unknown key`() {
         val failure = decodeSettings("f.toml", "nam = \"x\"", EntryProgramSettings.serializer()).getError()
