Refuse queued requests before a stopping entry is killed

What callers saw: a request that still waited at a stopping entry for a free slot lost its connection without an answer when the process was killed at the end of its grace period, although nothing had run.

Cause: the entry did not know when it would be killed, and kept queued requests until their deadline.

'a request that no upstream has taken is refused before a stopping process is killed' needs the new setting and did not compile before.

Change: the optional setting stop_time says when the process is killed. One second before, requests that are queued are refused as the entry refuses new ones; one that an upstream may have run keeps an unknown outcome.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
@@ -9,6 +9,8 @@
     val confirmationLifetime: Long? = null,
     /** How long requests are still accepted after a stop was requested, until the load balancer stops sending them. */
     val acceptAfterStop: Long = 0,
+    /** How long after a requested stop the process may be killed; null if it is given the time that it needs. */
+    val stopTime: Long? = null,
     /** Whether a connection that is lost during a request counts as a crash of its engine. */
     val brokenConnectionIsCrash: Boolean = true,
     /** Consecutive failed connection attempts after which an upstream is excluded and probed. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -36,6 +36,7 @@
     updateEligibility()
     if (event !is EntryEvent.AttemptProgress && event !is EntryEvent.AttemptFirstByte) startQueuedRequests()
     reportReadiness()
+    refuseQueuedBeforeKill()
     closeIdleConnectionsWhenRefusing()
     terminateWhenIdle()
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.core.internal
 
 import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.Refusal
 
 /**
  * Starts a graceful stop. The entry first reports that it is not ready, so that the load balancer chooses another
@@ -26,6 +27,15 @@
     emit(EntryEffect.CloseIdleConnections)
 }
 
+/** Requests that no upstream has taken when the process is killed would end without an answer. */
+internal fun Reduction.refuseQueuedBeforeKill() {
+    val stopTime = settings.behaviour.stopTime ?: return
+    if (!state.stop.requested || now - state.stop.requestedAt < stopTime - LAST_REFUSALS_MILLISECONDS) return
+    state.requests.active.values
+        .filter { it.phase == RequestPhase.Queued }
+        .forEach { refuse(it, Refusal.Stopping) }
+}
+
 internal fun Reduction.terminateWhenIdle() {
     val stop = state.stop
     if (!refusesAfterStop() || stop.terminated) return
@@ -51,3 +61,4 @@
 
 // Without control the records cannot be delivered. Resends then correctly get "outcome unknown".
 private const val RECORDS_WAIT_MILLISECONDS = 10_000L
+private const val LAST_REFUSALS_MILLISECONDS = 1_000L
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/LifecycleTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/LifecycleTest.kt
@@ -59,6 +59,19 @@
         assertFalse(EntryEffect.CloseIdleConnections in scenario.pass(1_000))
     }
 
+    @Test
+    fun `a request that no upstream has taken is refused before a stopping process is killed`() {
+        val scenario = RoutedScenario(listOf(listedEngine("e1")))
+        val finishBy = scenario.now + 30_000
+        val started = (1L..40L).flatMap { scenario.stream(it, RoutedScenario.RESUMABLE, finishBy).starts() }
+        assertTrue(started.size < 40)
+        scenario.send(EntryEvent.StopRequested)
+        assertEquals(emptyList(), scenario.pass(6_900).of<EntryEffect.RefuseCaller>())
+        val refused = scenario.pass(200).of<EntryEffect.RefuseCaller>()
+        assertEquals(40 - started.size, refused.size)
+        assertEquals(setOf<Refusal>(Refusal.Stopping), refused.map { it.refusal }.toSet())
+    }
+
     @Test
     fun `decisions on the newest requests are explained and those on old requests are discarded`() {
         val scenario = Scenario()
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -29,6 +29,7 @@
                 EntryBehaviour(
                     confirmationLifetime = CONFIRMATION_LIFETIME,
                     acceptAfterStop = 3_000,
+                    stopTime = 8_000,
                     brokenConnectionIsCrash = false,
                     connectFailuresToExclude = 1,
                     scheduling = SchedulingPolicy(preemption = false, floor = false),
--- a/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
@@ -78,6 +78,7 @@
         EntryBehaviour(
             confirmationLifetime = confirmationLifetime(settings.keyRevocation?.value, settings.contactTime?.value),
             acceptAfterStop = settings.drainTime?.value ?: 0,
+            stopTime = settings.stopTime?.value,
             brokenConnectionIsCrash = false,
             connectFailuresToExclude = 1,
             scheduling = SchedulingPolicy(preemption = false, floor = false),
--- a/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
@@ -41,6 +41,9 @@
     val contactTime: Milliseconds? = null,
     @SerialName("drain_time")
     val drainTime: Milliseconds? = null,
+    /** The time after SIGTERM at which the process is killed. Requests that still wait shortly before are refused. */
+    @SerialName("stop_time")
+    val stopTime: Milliseconds? = null,
     val heartbeat: Milliseconds? = null,
 ) {
     /** The link addresses of the control replicas. With [controlPort], [control] only names the VMs. */
