End streams that their callers do not read

What callers saw: nothing, since they did not read; but a stream behind a route whose caller read nothing never ended after its deadline, and an entry with such a stream did not stop before it was killed, which cut off whatever else it still had.

Cause: the end of a stream, or its abort, waits behind the bytes that the caller's connection has not taken.

Change: 1 s after the entry has ended or aborted a stream, it closes the caller's connection if bytes still wait. The test of closing without the wait for open requests is renamed to what it shows.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -9,11 +9,11 @@
 import hawthorncrank.entry.core.StatedOutcome
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.reactivestreams.Publisher
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
+import reactor.netty.Connection
 import reactor.netty.http.server.HttpServerRequest
 import reactor.netty.http.server.HttpServerResponse
 import java.io.ByteArrayOutputStream
@@ -56,11 +56,11 @@
         response: HttpServerResponse,
     ): Publisher<Void> {
         val current = view() ?: return reject(request, response, Rejection.NotReady)
-        var loop: EventLoop? = null
-        request.withConnection { loop = it.channel().eventLoop() }
+        var connection: Connection? = null
+        request.withConnection { connection = it }
         return callers.admit(request, current).flatMapMany { result ->
             result.fold(
-                success = { admitted -> receive(request, response, admitted, checkNotNull(loop)) },
+                success = { admitted -> receive(request, response, admitted, checkNotNull(connection)) },
                 // An outdated configuration may lack a route or a key that the newest configuration has.
                 failure = {
                     reject(
@@ -77,7 +77,7 @@
         request: HttpServerRequest,
         response: HttpServerResponse,
         admitted: AdmittedCaller,
-        loop: EventLoop,
+        connection: Connection,
     ): Publisher<Void> =
         body(request).publishOn(callers.readOn).flatMapMany { result ->
             result.fold(
@@ -90,7 +90,7 @@
                             bytes,
                             admitted.organisation,
                         )
-                    exchange(admitted, received, response, loop)
+                    exchange(admitted, received, response, connection)
                 },
                 failure = { reject(request, response, it) },
             )
@@ -100,12 +100,12 @@
         admitted: AdmittedCaller,
         received: ReceivedRequest,
         response: HttpServerResponse,
-        loop: EventLoop,
+        connection: Connection,
     ): Publisher<Void> {
         val number = numbers.getAndIncrement()
         response.header(REQUEST_HEADER, "$entryName-$number")
         return admitted.read(received, number).fold(
-            success = { parsed -> run(parsed, response, loop) },
+            success = { parsed -> run(parsed, response, connection) },
             failure = { write(response, it) },
         )
     }
@@ -113,9 +113,11 @@
     private fun run(
         parsed: ParsedRequest,
         response: HttpServerResponse,
-        loop: EventLoop,
+        connection: Connection,
     ): Publisher<Void> {
-        val exchange = Exchange(parsed.callerRequest.number, parsed.outgoing, loop, activeExchanges, log)
+        val loop = connection.channel().eventLoop()
+        val exchange =
+            Exchange(parsed.callerRequest.number, parsed.outgoing, loop, activeExchanges, log, connection::dispose)
         activeExchanges.register(exchange)
         activeExchanges.report(EntryEvent.RequestArrived(parsed.callerRequest))
         return exchange.answer
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -203,10 +203,8 @@
     /** Serves the operations pages on a second address, for networks where only the load balancer reaches the first. */
     private fun openMetrics(file: String): Result<Unit, SettingsFailure> {
         val address = settings.metricsAddress ?: return Ok(Unit)
-        return openPort(file, "metrics_address", address, limits.port, tls = null, handler = operations::handle).map {
-            servers +=
-                it
-        }
+        return openPort(file, "metrics_address", address, limits.port, tls = null, handler = operations::handle)
+            .map { servers += it }
     }
 
     private fun listenFailure(
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -13,10 +13,12 @@
 import reactor.core.publisher.Sinks
 import reactor.core.scheduler.Schedulers
 import java.security.MessageDigest
+import java.util.concurrent.TimeUnit
 
 /**
  * One caller's request and its answer. Its state is confined to [loop], the event loop of the caller's connection;
  * effects of the control thread are dispatched to that loop. Only bytes of the current attempt reach the caller.
+ * [closeConnection] closes the caller's connection.
  */
 internal class Exchange(
     val number: Long,
@@ -24,6 +26,7 @@
     private val loop: EventLoop,
     private val activeExchanges: ActiveExchanges,
     private val log: EventLog,
+    private val closeConnection: () -> Unit,
 ) {
     private val answered = Sinks.one<CallerAnswer>()
     private var current: Attempt? = null
@@ -223,6 +226,12 @@
     ) {
         val event = request.format.errorEvent
         if (event == null) stream.abort(reason) else stream.complete(event(reason))
+        loop.schedule(::closeIfUnread, LAST_BYTES_LIMIT_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
+    /** The end of a stream waits behind bytes that its caller has not read, for ever if it reads none. */
+    private fun closeIfUnread() {
+        if (activeExchanges.exchange(number) === this) closeConnection()
     }
 
     private fun deliver(answer: CallerAnswer) {
@@ -241,5 +250,6 @@
 
     private companion object {
         const val PREFETCHED_SIGNALS = 4
+        const val LAST_BYTES_LIMIT_MILLISECONDS = 1_000L
     }
 }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/StopWithOpenConnectionsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/StopWithOpenConnectionsTest.kt
@@ -58,7 +58,7 @@
         }
 
     @Test
-    fun `a caller that does not read its answer does not keep the process from ending`() {
+    fun `closing an entry waits a limited time for a caller that does not read its answer`() {
         val parts = Flux.range(0, 100_000).map { FakeUpstream.event("knot $it".repeat(100)) }
         serving(FakeUpstream.streaming(parts), EntryEffect.Terminate) { entry ->
             KeptConnection(entry.process.httpPort).use { connection ->
