Wait for the entry in the test of an unread stream

Failed once in the module tests after the last read: 'expected: <HTTP/1.1 200> but was: <HTTP/1.1 503>'. The request could arrive before the entry had applied its configuration; the test now waits until the entry is ready, as EntryFixture does. The assertions stay.

--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/StopWithUnreadStreamTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/StopWithUnreadStreamTest.kt
@@ -16,6 +16,7 @@
         FakeUpstream.streaming(parts).use { upstream ->
             val route = RoutedEntryFixture.route("/stream/", tier = 1, streamed = true)
             RoutedEntryFixture.entry(upstream.port, listOf(route)).use { entry ->
+                while (exchange(entry.operationsPort, "GET", "/readyz").status != 200) Thread.onSpinWait()
                 Socket("127.0.0.1", entry.httpPort).use { caller ->
                     caller.getOutputStream().write(REQUEST.toByteArray())
                     assertEquals(
