Do not use a connection again that has bytes after an answer

Cause: the decoder of the HTTP client kept a part of a second answer that followed the first one in the same read, and took the next answer for its continuation.

Change: connections to upstreams have a codec of our own on the decoder of the library. It knows whether an answer is due. Bytes after a complete answer are discarded and the connection is closed after it; bytes without a request close it at once. Interim answers and answers to HEAD are told apart.

--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
@@ -0,0 +1,55 @@
+package hawthorncrank.entry.internal
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.LastHttpContent
+import reactor.netty.Connection
+
+/**
+ * Decodes the answers on one connection to an upstream, on which each request gets one answer. Bytes after a complete
+ * answer belong to no request, and the next answer would be decoded as their continuation. They are discarded, and the
+ * connection is not used again.
+ */
+internal class AnswerDecoder : HttpResponseDecoder() {
+    private var awaited: HttpMethod? = null
+    private var interim = false
+
+    fun requestSent(method: HttpMethod) {
+        awaited = method
+    }
+
+    override fun decode(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        if (awaited == null) {
+            buffer.skipBytes(buffer.readableBytes())
+            context.close()
+            return
+        }
+        super.decode(context, buffer, out)
+        out.forEach { decoded ->
+            if (decoded is HttpResponse) interim = decoded.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        }
+        if (!interim && out.lastOrNull() is LastHttpContent) answerEnded(context, buffer)
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        awaited == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    private fun answerEnded(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+    ) {
+        awaited = null
+        if (!buffer.isReadable) return
+        buffer.skipBytes(buffer.readableBytes())
+        Connection.from(context.channel()).markPersistent(false)
+    }
+}
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -9,6 +9,7 @@
 import reactor.core.publisher.Flux
 import reactor.core.publisher.Mono
 import reactor.netty.Connection
+import reactor.netty.NettyPipeline
 import reactor.netty.http.client.HttpClient
 import reactor.netty.http.client.HttpClientResponse
 import reactor.netty.resources.ConnectionProvider
@@ -66,7 +67,9 @@
             .create(connections)
             .disableRetry(true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
-            .doOnRequest { _, _ -> sent() }
+            .doOnChannelInit { _, channel, _ ->
+                channel.pipeline().replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, UpstreamCodec())
+            }.doOnRequest { _, _ -> sent() }
             .doOnResponse { response, connection -> closeIfMismatched(response, connection, request.format) }
             .headers { headers -> setHeaders(headers, attempt, request, content) }
             .request(request.method)
--- /dev/null
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamCodec.kt
@@ -0,0 +1,23 @@
+package hawthorncrank.entry.internal
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPromise
+import io.netty.channel.CombinedChannelDuplexHandler
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
+
+/** Encodes requests to an upstream and decodes its answers, so that each answer is matched to a request. */
+internal class UpstreamCodec private constructor(
+    private val answers: AnswerDecoder,
+) : CombinedChannelDuplexHandler<AnswerDecoder, HttpRequestEncoder>(answers, HttpRequestEncoder()) {
+    constructor() : this(AnswerDecoder())
+
+    override fun write(
+        context: ChannelHandlerContext,
+        message: Any,
+        promise: ChannelPromise,
+    ) {
+        if (message is HttpRequest) answers.requestSent(message.method())
+        super.write(context, message, promise)
+    }
+}
