Send nothing to upstreams that leave or ask for a pause

Cause: no code read the header by which an upstream says that it leaves, and the Retry-After of a rejected request only reached its caller, while other requests went to the same upstream at once.

Change: a mark of leaving counts from the head of any answer of that upstream, whatever its status, until the upstream is listed at another address. It does not depend on the platform's list. A rejection with 503 and a time holds the upstream off: it gets no requests and no probes, and requests for which all usable upstreams are held off for longer than they can wait are refused as not run with the shortest time (event 1513). The native interface read only whole seconds and overflowed on huge ones; it uses the same function now.

ServiceCallTest expects the new property of a rejection.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
@@ -15,9 +15,13 @@
     /** No byte of the request left this process. */
     data object NotConnected : AttemptEnd
 
-    /** The upstream rejected the request without running it (503, or 429 with Retry-After). */
+    /**
+     * The upstream rejected the request without running it (503, or 429 with Retry-After). If the rejection
+     * [concernsUpstream] as a whole, no other request may be sent there before [retryAfterMilliseconds] have passed.
+     */
     data class Rejected(
         val retryAfterMilliseconds: Long?,
+        val concernsUpstream: Boolean = false,
     ) : AttemptEnd
 
     /** Another upstream answered at the address and did not run the request. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
@@ -59,6 +59,12 @@
         val upstreams: List<ListedUpstream>,
     ) : EntryEvent
 
+    /** The upstream at [address] said in the head of an answer that it is leaving. */
+    data class UpstreamAnnouncedLeaving(
+        val upstream: String,
+        val address: String,
+    ) : EntryEvent
+
     /** The result of probing an upstream that was excluded. */
     data class ProbeAnswered(
         val upstream: String,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -57,6 +57,7 @@
     val active = currentRequest(attempt)
     state = state.copy(attempts = state.attempts.copy(running = state.attempts.running.remove(attemptNumber)))
     removeFromUpstreamLoad(attempt, end)
+    if (end is AttemptEnd.Rejected) holdOff(attempt.upstream, end)
     // If an attempt was cancelled or its caller left, only a complete answer is evidence about its upstream.
     val abandoned = attempt.cancelled != null || active?.callerLeft == true
     if (!abandoned || end is AttemptEnd.Completed) updateUpstreamHealth(attempt, active, end)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -20,6 +20,7 @@
         is EntryEvent.CacheChanged -> cacheChanged(event.upstream, event.change)
         is EntryEvent.MembershipReported -> membershipReported(event.live, event.leaving)
         is EntryEvent.UpstreamsListed -> upstreamsListed(event.upstreams)
+        is EntryEvent.UpstreamAnnouncedLeaving -> leavingAnnounced(event.upstream, event.address)
         is EntryEvent.ProbeAnswered ->
             if (asksAboutCrash(event.upstream)) {
                 crashProbeAnswered(event.upstream, event.reachable)
@@ -35,6 +36,7 @@
     }
     updateEligibility()
     if (event !is EntryEvent.AttemptProgress && event !is EntryEvent.AttemptFirstByte) startQueuedRequests()
+    refuseQueuedBehindHolds()
     reportReadiness()
     refuseQueuedBeforeKill()
     closeIdleConnectionsWhenRefusing()
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -17,15 +17,20 @@
 internal fun Reduction.mayGetWork(upstream: Upstream): Boolean {
     if (isLeaving(upstream) || state.membership.live?.contains(upstream.name) == false) return false
     val observation = state.membership.observed[upstream.name] ?: return true
-    return observation.excluded == null && observation.taken?.address != upstream.address
+    return isReachable(upstream, observation) && !isHeld(upstream, observation)
 }
 
+internal fun isReachable(
+    upstream: Upstream,
+    observation: Observation,
+): Boolean = observation.excluded == null && observation.taken?.address != upstream.address
+
 internal fun Reduction.isLeaving(upstream: Upstream): Boolean {
     val membership = state.membership
     val name = upstream.name
     val marked =
         upstream.leaving || name in membership.leaving || name in membership.drained ||
-            name in membership.noticedLeaving
+            name in membership.noticedLeaving || membership.announcedLeaving[name]?.address == upstream.address
     return marked && rules.leavingUpstreamsGetNoWork
 }
 
@@ -50,6 +55,17 @@
     emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, name)))
 }
 
+/** The mark does not depend on the platform's list, which lags and may show the upstream as ready for some time more. */
+internal fun Reduction.leavingAnnounced(
+    name: String,
+    address: String,
+) {
+    if (upstream(name)?.address != address) return
+    val known = state.membership.announcedLeaving[name]?.address == address
+    membership { it.copy(announcedLeaving = it.announcedLeaving.put(name, LeavingAnnouncement(address, now))) }
+    if (!known) announceLeaving(name, source = "an answer of the upstream")
+}
+
 internal fun Reduction.leavingNoticed(notice: ZoneMessage.LeavingNotice) {
     if (notice.entry == settings.name || upstream(notice.upstream) == null) return
     val known = notice.upstream in state.membership.noticedLeaving
@@ -176,14 +192,22 @@
         sendLeavingNotices()
     }
     releaseTakenAddresses()
-    membership.observed.forEach { (name, observation) -> observation.excluded?.let { probe(name, observation, it) } }
+    releaseHolds()
+    forgetOldAnnouncements()
+    state.membership.observed.forEach { (name, observation) ->
+        if (observation.held == null) observation.excluded?.let { probe(name, observation, it) }
+    }
 }
 
 /** Tells the zone, or one neighbour, which upstreams are marked as leaving by the platform or drained by operators. */
 internal fun Reduction.sendLeavingNotices(recipient: String? = null) {
-    (state.membership.leaving + state.membership.drained).filter { upstream(it) != null }.forEach {
-        emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, it), recipient))
-    }
+    (state.membership.leaving + state.membership.drained + state.membership.announcedLeaving.keys)
+        .filter {
+            upstream(it) !=
+                null
+        }.forEach {
+            emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, it), recipient))
+        }
 }
 
 /**
@@ -213,8 +237,7 @@
     name: String,
     observation: Observation,
 ) {
-    if (observation.taken != null) return observe(name, Observation(taken = observation.taken))
-    membership { it.copy(observed = it.observed.remove(name)) }
+    observe(name, Observation(taken = observation.taken, held = observation.held))
 }
 
 /** Tries an upstream again for which the platform's list still shows the address that another one had. */
@@ -237,10 +260,21 @@
     }
 }
 
-private fun Reduction.observe(
+private fun Reduction.forgetOldAnnouncements() {
+    val old =
+        state.membership.announcedLeaving
+            .filterValues { now - it.at >= ANNOUNCEMENT_LIFETIME_MILLISECONDS }
+            .keys
+    if (old.isEmpty()) return
+    membership { it.copy(announcedLeaving = old.fold(it.announcedLeaving) { map, key -> map.remove(key) }) }
+}
+
+internal fun Reduction.observe(
     name: String,
     observation: Observation,
-) = membership { it.copy(observed = it.observed.put(name, observation)) }
+) = membership {
+    it.copy(observed = if (observation.isEmpty) it.observed.remove(name) else it.observed.put(name, observation))
+}
 
 private fun Reduction.membership(change: (MembershipState) -> MembershipState) {
     state = state.copy(membership = change(state.membership))
@@ -258,4 +292,8 @@
 // The platform's list is received every second and may be older than that. Senders repeat a notice while it applies.
 private const val NOTICE_LIFETIME_MILLISECONDS = 30_000L
 private const val NOTICE_REPEAT_MILLISECONDS = 5_000L
+
+// Far longer than an upstream takes to leave. Without a limit, one that starts again under its old name and address, which
+// the platform's list does not tell from the old one, would never be used.
+private const val ANNOUNCEMENT_LIFETIME_MILLISECONDS = 600_000L
 private const val FIRST_LIST_WAIT_MILLISECONDS = 2_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
@@ -11,7 +11,8 @@
 /**
  * Which upstreams may get work. [live] is null until the platform's list arrives; until then no upstream is excluded
  * for not being listed. [noticedLeaving] holds the expiry time of each neighbour's notice, because notices are never
- * withdrawn. [listedAt] is when the platform's list was last read.
+ * withdrawn. [listedAt] is when the platform's list was last read. [announcedLeaving] holds the upstreams that said in an
+ * answer that they leave, which the platform's list may not show yet.
  */
 internal data class MembershipState(
     val live: PersistentSet<String>? = null,
@@ -22,18 +23,39 @@
     val drainRevision: Long = -1,
     val noticedLeaving: PersistentMap<String, Long> = persistentMapOf(),
     val noticesSentAt: Long = 0,
+    val announcedLeaving: PersistentMap<String, LeavingAnnouncement> = persistentMapOf(),
     val observed: PersistentMap<String, Observation> = persistentMapOf(),
 )
 
 /**
- * The failures of an upstream that this entry observed. [excluded] is set while it gets no work and is probed, and
- * [taken] after another upstream answered in its place.
+ * What this entry observed of an upstream. [excluded] is set while it gets no work and is probed, [taken] after another
+ * upstream answered in its place, and [held] after it asked for no requests for a time.
  */
 internal data class Observation(
     val connectFailures: Int = 0,
     val lostAnswers: Int = 0,
     val excluded: Exclusion? = null,
     val taken: TakenAddress? = null,
+    val held: Hold? = null,
+) {
+    val isEmpty: Boolean
+        get() = this == NOTHING
+
+    private companion object {
+        val NOTHING = Observation()
+    }
+}
+
+/** The upstream at [address] asked for no requests before [until]. */
+internal data class Hold(
+    val address: String,
+    val until: Long,
+)
+
+/** The upstream at [address] said at [at] that it leaves. */
+internal data class LeavingAnnouncement(
+    val address: String,
+    val at: Long,
 )
 
 /** An address at which the upstream gets no work before [until]. */
--- a/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
@@ -7,13 +7,15 @@
 
 /**
  * Translates between the HTTP headers of routed requests and the product's terms. These functions only translate; the
- * entry decides what follows from their results. [strippedHeaders], in lower case, are never forwarded from a caller to
+ * entry decides what follows from their results. [announcesLeaving] tells whether an upstream says in its answer that it
+ * leaves. [strippedHeaders], in lower case, are never forwarded from a caller to
  * an upstream. [refusalStatus] gives the HTTP status of a refusal that has the given status in the product's own API.
  */
 class ExchangeProtocol(
     val readCallerHeaders: (HttpHeaders) -> CallerHeaders,
     val writeUpstreamHeaders: (UpstreamCall) -> List<Pair<String, String>>,
     val classifyReply: (identifier: String, status: Int, headers: HttpHeaders) -> UpstreamReply,
+    val announcesLeaving: (HttpHeaders) -> Boolean,
     val strippedHeaders: Set<String>,
     val refusalStatus: (status: Int, outcome: StatedOutcome) -> Int,
     val formatRetryAfter: (milliseconds: Long) -> String,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -116,14 +116,19 @@
     private fun begin(arrived: UpstreamSignal.Head) {
         head = arrived
         parseLoad(arrived.headers.get(LOAD_HEADER))?.let { report(EntryEvent.LoadReported(effect.upstream, it)) }
-        when (val reply = owner.classifyReply(arrived)) {
+        val reply = owner.classifyReply(arrived)
+        val answeredByUpstream = reply != UpstreamReply.Misdirected && reply != UpstreamReply.Mismatched
+        if (answeredByUpstream && owner.announcesLeaving(arrived)) {
+            report(EntryEvent.UpstreamAnnouncedLeaving(effect.upstream, effect.address))
+        }
+        when (reply) {
             UpstreamReply.Accepted -> Unit
             UpstreamReply.OutcomeUnknown -> {
                 owner.answerNotUsed(this, arrived.status, "outcome_unknown")
                 outcomeUnknown = true
             }
             is UpstreamReply.Rejected ->
-                return endNotRun(AttemptEnd.Rejected(reply.retryAfterMilliseconds), arrived)
+                return endNotRun(rejected(arrived.status, reply.retryAfterMilliseconds), arrived)
             UpstreamReply.Misdirected -> return endNotRun(AttemptEnd.Misdirected, arrived)
             UpstreamReply.Mismatched -> {
                 owner.answerNotUsed(this, arrived.status, "mismatched")
@@ -233,6 +238,11 @@
         return CompleteAnswer(HTTP_BAD_GATEWAY, JSON_HEADERS, body.toByteArray())
     }
 
+    private fun rejected(
+        status: Int,
+        retryAfterMilliseconds: Long?,
+    ) = AttemptEnd.Rejected(retryAfterMilliseconds, concernsUpstream = status == HTTP_UNAVAILABLE)
+
     /** Reads the body of a rejection to its end if it is small, so that the connection can be reused. */
     private fun endNotRun(
         end: AttemptEnd,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -149,6 +149,8 @@
     fun classifyReply(head: UpstreamSignal.Head): UpstreamReply =
         request.format.classifyReply(head.status, head.headers)
 
+    fun announcesLeaving(head: UpstreamSignal.Head): Boolean = request.format.announcesLeaving(head.headers)
+
     fun attemptFailed(
         attempt: Attempt,
         failure: Throwable,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/NativeExchangeFormat.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/NativeExchangeFormat.kt
@@ -3,6 +3,7 @@
 import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.StatedOutcome
+import hawthorncrank.entry.readRetryAfter
 import io.netty.handler.codec.http.HttpHeaders
 
 /** The exchange format of the product's own API: chat completions and calls of plain services. */
@@ -10,6 +11,7 @@
     ExchangeFormat(
         attemptHeaders = ::nativeAttemptHeaders,
         classifyReply = ::classifyNativeReply,
+        announcesLeaving = { false },
         framing = StreamFraming.CompletionEvents,
         streamHeaders = { STREAM_HEADERS },
         errorEvent = ::errorEvent,
@@ -31,14 +33,9 @@
 ): UpstreamReply {
     val rejected =
         status == HTTP_UNAVAILABLE || (status == HTTP_TOO_MANY_REQUESTS && headers.contains(RETRY_AFTER))
-    return if (rejected) UpstreamReply.Rejected(retryAfterOf(headers)) else UpstreamReply.Accepted
+    return if (rejected) UpstreamReply.Rejected(readRetryAfter(headers.get(RETRY_AFTER))) else UpstreamReply.Accepted
 }
 
-private fun retryAfterOf(headers: HttpHeaders): Long? =
-    headers.get(RETRY_AFTER)?.toLongOrNull()?.times(MILLISECONDS_PER_SECOND)
-
-private const val MILLISECONDS_PER_SECOND = 1_000
-
 private val STREAM_HEADERS =
     listOf(
         CONTENT_TYPE to "text/event-stream",
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/OutgoingRequest.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/OutgoingRequest.kt
@@ -29,6 +29,7 @@
 internal class ExchangeFormat(
     val attemptHeaders: (EntryEffect.StartAttempt, lastEventIdentifier: String?) -> List<Pair<String, String>>,
     val classifyReply: (status: Int, headers: HttpHeaders) -> UpstreamReply,
+    val announcesLeaving: (HttpHeaders) -> Boolean,
     val framing: StreamFraming,
     val streamHeaders: (HttpHeaders) -> List<Pair<String, String>>,
     val errorEvent: ((reason: String) -> ByteArray)?,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -125,6 +125,7 @@
                 )
             },
             classifyReply = { status, headers -> protocol.classifyReply(caller.identifier, status, headers) },
+            announcesLeaving = protocol.announcesLeaving,
             framing = StreamFraming.NumberedEvents,
             streamHeaders = ::forwardedHeaders,
             errorEvent = null,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -36,6 +36,7 @@
     const val IDENTIFIER_HEADER = "test-identifier"
     const val LAST_EVENT_HEADER = "test-last-event"
     const val NOT_RUN_HEADER = "test-not-run"
+    const val LEAVING_HEADER = "test-leaving"
     private const val SERVICE_LEVEL = "level"
     private val settings =
         EntrySettings(
@@ -78,6 +79,7 @@
                     listOfNotNull(call.lastEventIdentifier?.let { LAST_EVENT_HEADER to it })
             },
             classifyReply = classifyReply,
+            announcesLeaving = { headers -> headers.contains(LEAVING_HEADER) },
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
             formatRetryAfter = { "1" },
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/ServiceCallTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/ServiceCallTest.kt
@@ -132,7 +132,7 @@
         EntryFixture(decide = routingTo(full.port, ::refuseAsUnknown)).use { entry ->
             entry.post("/bookings", "{}", key)
             assertEquals(
-                AttemptEnd.Rejected(2_000),
+                AttemptEnd.Rejected(2_000, concernsUpstream = true),
                 (
                     entry.awaitEvent {
                         it is EntryEvent.AttemptEnded
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UnconfirmedConfigurationRejectionTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UnconfirmedConfigurationRejectionTest.kt
@@ -22,6 +22,7 @@
             readCallerHeaders = { CallerHeaders("attempt", null, null, 0, null, emptyList(), null) },
             writeUpstreamHeaders = { emptyList() },
             classifyReply = { _, _, _ -> error("nothing is sent to an upstream") },
+            announcesLeaving = { false },
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
             formatRetryAfter = { "1" },
