Keep deadlines and protective waits on steady time

Cause: an entry's only time leapt ahead when the time of day was set forward, which looks like a suspension. Leases ended early, which is safe, but so did the deadlines of requests, exclusions, convictions and the time for which an upstream asked for no requests. A suspension after the time of day had been set back was missed up to the size of that step, so a confirmation could seem younger than it was.

Ruled out: /proc/uptime as a clock that counts suspensions and ignores steps.

Change: the time of an entry's events does not count suspensions. Suspensions are recognised by the offset between the two clocks, followed in both directions. Control replicas keep the time that includes suspensions.

--- a/common/src/main/kotlin/hawthorncrank/common/MillisecondClock.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/MillisecondClock.kt
@@ -7,12 +7,15 @@
  *
  * [now] counts milliseconds from an arbitrary origin and never goes back. [wallTime] is milliseconds since the Unix
  * epoch. It is for records that people read, for times and numbers that must be comparable between machines or across
- * restarts, and for detecting a suspension of the machine.
+ * restarts, and for detecting a suspension of the machine. [suspended] is the number of milliseconds for which the machine
+ * may have been suspended so far, which [now] does not count. Only leases need it: they must not seem younger than they are.
  */
 interface MillisecondClock {
     fun now(): Long
 
     fun wallTime(): Long
+
+    fun suspended(): Long = 0
 }
 
 /** Creates the clock of a running process. */
--- a/common/src/main/kotlin/hawthorncrank/common/SuspendAwareClock.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/SuspendAwareClock.kt
@@ -1,33 +1,24 @@
 package hawthorncrank.common
 
 /**
- * Creates a clock whose [MillisecondClock.now] includes the time during which the machine was suspended. The monotonic
- * clock stops during a suspension, so a lease would seem younger than it is. A suspension is detected when the time of
- * day moves ahead of the monotonic clock. Setting the time of day forward looks the same; it only makes leases and
- * waits end early.
+ * Creates a clock whose [MillisecondClock.now] does not count the time during which the machine was suspended, and whose
+ * [MillisecondClock.suspended] does. Setting the time of day forward adds to the latter only, so it ends leases early, but
+ * not the waits and deadlines of requests.
  */
-fun suspendAwareClock(base: MillisecondClock = systemClock()): MillisecondClock = SuspendAwareClock(base)
-
-private class SuspendAwareClock(
-    private val base: MillisecondClock,
-) : MillisecondClock {
-    private var largestOffset = base.wallTime() - base.now()
-    private var suspendedMilliseconds = 0L
-
-    @Synchronized
-    override fun now(): Long {
-        val monotonic = base.now()
-        val offset = base.wallTime() - monotonic
-        val jump = offset - largestOffset
-        if (jump >= SMALLEST_SUSPENSION_MILLISECONDS) suspendedMilliseconds += jump
-        largestOffset = maxOf(largestOffset, offset)
-        return monotonic + suspendedMilliseconds
+fun suspensionDetectingClock(base: MillisecondClock = systemClock()): MillisecondClock {
+    val detector = SuspensionDetector(base)
+    return object : MillisecondClock by base {
+        override fun suspended(): Long = detector.total()
     }
+}
 
-    override fun wallTime(): Long = base.wallTime()
-
-    private companion object {
-        // Larger than any correction that clock synchronisation makes between two readings.
-        const val SMALLEST_SUSPENSION_MILLISECONDS = 50L
+/**
+ * Creates a clock whose [MillisecondClock.now] includes the time during which the machine was suspended, for processes all
+ * of whose waits are leases.
+ */
+fun suspendAwareClock(base: MillisecondClock = systemClock()): MillisecondClock {
+    val detecting = suspensionDetectingClock(base)
+    return object : MillisecondClock by base {
+        override fun now(): Long = detecting.suspended().let { base.now() + it }
     }
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
@@ -86,6 +86,11 @@
     /** SIGTERM: finish the requests in flight and accept no new ones. */
     data object StopRequested : EntryEvent
 
+    /** The machine may have been suspended for so long, which the time of the events does not include. */
+    data class MachineSuspended(
+        val milliseconds: Long,
+    ) : EntryEvent
+
     /** Sent every 100 ms. */
     data object Tick : EntryEvent
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
@@ -7,13 +7,13 @@
 internal fun Reduction.confirmationTick() {
     if (settings.behaviour.confirmationLifetime == null || !state.controlLink.open) return
     val askedAt = state.confirmation.askedAt
-    if (askedAt == null || now - askedAt >= CONFIRMATION_INTERVAL_MILLISECONDS) requestConfirmation()
+    if (askedAt == null || leaseTime - askedAt >= CONFIRMATION_INTERVAL_MILLISECONDS) requestConfirmation()
 }
 
 internal fun Reduction.requestConfirmation() {
     if (settings.behaviour.confirmationLifetime == null) return
-    state = state.copy(confirmation = state.confirmation.copy(askedAt = now))
-    emit(EntryEffect.SendToControl(EntryToControl.ConfirmConfiguration(now)))
+    state = state.copy(confirmation = state.confirmation.copy(askedAt = leaseTime))
+    emit(EntryEffect.SendToControl(EntryToControl.ConfirmConfiguration(leaseTime)))
 }
 
 internal fun Reduction.configurationConfirmed(message: ControlToEntry.ConfigurationConfirmed) {
@@ -37,9 +37,24 @@
     get() {
         val lifetime = settings.behaviour.confirmationLifetime ?: return true
         val confirmedAt = state.confirmation.confirmedAt ?: return false
-        return now - confirmedAt <= lifetime
+        return leaseTime - confirmedAt <= lifetime
     }
 
+internal val Reduction.confirmationAge: Long?
+    get() = state.confirmation.confirmedAt?.let { leaseTime - it }
+
+/** A version may have been accepted during the suspension, so the last confirmation ages by it. */
+internal fun Reduction.machineSuspended(milliseconds: Long) {
+    val confirmation = state.confirmation
+    state = state.copy(confirmation = confirmation.copy(suspended = confirmation.suspended + milliseconds))
+    record(EntryDecisionEvent.MACHINE_SUSPENDED, "milliseconds" to milliseconds)
+    if (state.controlLink.open) requestConfirmation()
+}
+
+/** The time on which confirmations age. All other waits of an entry count only the time in which it ran. */
+private val Reduction.leaseTime: Long
+    get() = now + state.confirmation.suspended
+
 /** Reports to the load balancer when the entry becomes ready or stops being ready. */
 internal fun Reduction.reportReadiness() {
     if (settings.behaviour.confirmationLifetime == null || state.stop.requested) return
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -32,6 +32,7 @@
         EntryEvent.ControlLinkOpened -> controlLinkOpened()
         EntryEvent.ControlLinkClosed -> state = state.copy(controlLink = state.controlLink.copy(open = false))
         EntryEvent.StopRequested -> stopRequested()
+        is EntryEvent.MachineSuspended -> machineSuspended(event.milliseconds)
         EntryEvent.Tick -> tick()
     }
     updateEligibility()
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -179,7 +179,7 @@
         "first_byte_after" to active.firstByteAt?.let { it - active.arrivedAt },
         "ended_after" to now - active.arrivedAt,
         "configuration" to state.configuration.version,
-        "proof_age" to state.confirmation.confirmedAt?.let { now - it },
+        "proof_age" to confirmationAge,
         "list_age" to listAge,
     )
 }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
 
 /** Tests that an entry that is cut off from control does not accept API keys that have been revoked. */
@@ -37,6 +38,37 @@
         assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(2, AT_MOST_ONCE).refusal())
     }
 
+    /** A key may have been revoked while the machine was suspended. */
+    @Test
+    fun `a suspension ages the last confirmation and the answer to a question from before it`() {
+        val asked =
+            scenario
+                .passUnconfirmed(500)
+                .toControl<EntryToControl.ConfirmConfiguration>()
+                .last()
+                .question
+        val suspended = scenario.send(EntryEvent.MachineSuspended(4_600))
+        assertEquals(1, suspended.toControl<EntryToControl.ConfirmConfiguration>().size)
+        assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(1, AT_MOST_ONCE).refusal())
+        scenario.control(ControlToEntry.ConfigurationConfirmed(asked, 5))
+        assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(2, AT_MOST_ONCE).refusal())
+        scenario.control(ControlToEntry.ConfigurationConfirmed(asked + 4_600, 5))
+        scenario.call(3, AT_MOST_ONCE).start()
+    }
+
+    /** A step of the time of day looks like a suspension and must not end what others wait for. */
+    @Test
+    fun `a suspension ends neither requests nor the time for which an upstream is held off`() {
+        val held = scenario.call(1, AT_MOST_ONCE, finishBy = scenario.now + 2_000).start()
+        val running = scenario.call(2, AT_MOST_ONCE, finishBy = scenario.now + 2_000).start()
+        scenario.end(held.attemptNumber, AttemptEnd.Rejected(2_000, concernsUpstream = true))
+        val after = scenario.send(EntryEvent.MachineSuspended(2_400)) + scenario.pass(1_000)
+        assertEquals(emptyList(), after.of<EntryEffect.CancelAttempt>())
+        assertNotEquals(held.upstream, scenario.call(3, AT_MOST_ONCE).start().upstream)
+        val ended = scenario.pass(1_100).of<EntryEffect.CancelAttempt>()
+        assertEquals(1, ended.count { it.attemptNumber == running.attemptNumber })
+    }
+
     /** An entry would use a revoked key, or after a cut an older configuration, for too long. */
     @Test
     fun `a confirmation expires before the revocation time and the contact time have passed`() {
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ControlThread.kt
@@ -10,7 +10,8 @@
 
 /**
  * The single thread that runs the reducer. It takes events in order of arrival, reduces each one with the time at which
- * it was taken, and executes the resulting effects. It also generates [EntryEvent.Tick], even while events are queued.
+ * it was taken, and executes the resulting effects. It also generates [EntryEvent.Tick], even while events are queued, and
+ * [EntryEvent.MachineSuspended] before any event that was taken after a suspension.
  * [measureDelay] gets the milliseconds that each event waited in the queue, and [failed] each event that the reducer could
  * not process.
  */
@@ -26,6 +27,7 @@
     private val queue = LinkedBlockingQueue<QueuedEvent>()
     private var state = initial
     private var nextDelayLog = clock.now()
+    private var suspended = clock.suspended()
 
     @Volatile private var open = true
     private val thread = Thread(::run, "entry-control").apply { isDaemon = true }
@@ -52,10 +54,18 @@
                 } else {
                     poll(wait)
                 }
-            event?.let(::reduce)
+            if (event == null) continue
+            suspensionSince()?.let(::reduce)
+            reduce(event)
         }
     }
 
+    private fun suspensionSince(): EntryEvent? {
+        val milliseconds = clock.suspended() - suspended
+        suspended += milliseconds
+        return if (milliseconds > 0) EntryEvent.MachineSuspended(milliseconds) else null
+    }
+
     private fun poll(milliseconds: Long): EntryEvent? =
         try {
             queue.poll(milliseconds, TimeUnit.MILLISECONDS)?.let(::taken)
