Look at the time that is left before a request is sent

Cause: between the decision on an attempt and its execution a process that lacks processor time may let a second or more pass.

Change: just before its first byte leaves, an attempt is given up if its deadline has passed or its caller has left; otherwise the upstream is told the time that is left now. The event loop reads what has arrived before the attempt runs, so that a close is seen. An attempt that was cancelled before it ran is not run; with the order of tasks before, this could not happen.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
@@ -24,6 +24,9 @@
         val concernsUpstream: Boolean = false,
     ) : AttemptEnd
 
+    /** The caller's deadline passed before the request was sent. */
+    data object Expired : AttemptEnd
+
     /** Another upstream answered at the address and did not run the request. */
     data object Misdirected : AttemptEnd
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -96,6 +96,7 @@
 internal fun certainlyNotStarted(end: AttemptEnd): Boolean =
     end is AttemptEnd.NotConnected ||
         end is AttemptEnd.Rejected ||
+        end is AttemptEnd.Expired ||
         end is AttemptEnd.Misdirected ||
         end is AttemptEnd.TimedOut && end.phase == TimeoutPhase.CONNECT
 
@@ -104,6 +105,7 @@
         is AttemptEnd.Completed -> "it answered with status ${end.status}"
         AttemptEnd.NotConnected -> "no connection could be opened"
         is AttemptEnd.Rejected -> "the upstream rejected it before running it"
+        AttemptEnd.Expired -> "its deadline passed before it was sent"
         AttemptEnd.Misdirected -> "another upstream answered at the address"
         is AttemptEnd.Broken -> "the connection broke after ${end.bytes} bytes"
         is AttemptEnd.TimedOut -> "it timed out (${end.phase.name.lowercase().replace('_', ' ')})"
@@ -141,7 +143,7 @@
 
         AttemptEnd.Misdirected -> addressTaken(name)
 
-        is AttemptEnd.Cancelled -> Unit
+        is AttemptEnd.Cancelled, AttemptEnd.Expired -> Unit
     }
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Outcomes.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Outcomes.kt
@@ -37,6 +37,8 @@
             refuse(active, Refusal.Overloaded(end.retryAfterMilliseconds ?: DEFAULT_RETRY_AFTER_MILLISECONDS))
         }
 
+        end is AttemptEnd.Expired -> refuse(active, Refusal.DeadlineExceeded(DEFAULT_RETRY_AFTER_MILLISECONDS))
+
         end is AttemptEnd.Misdirected -> {
             explain(active.number, "reached another upstream, which did not run it")
             refuse(active, Refusal.Overloaded(DEFAULT_RETRY_AFTER_MILLISECONDS))
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Retries.kt
@@ -31,6 +31,8 @@
             retryOrRefuse(next, charged = true, Refusal.Overloaded(retryAfter))
         }
 
+        AttemptEnd.Expired -> refuse(next, Refusal.DeadlineExceeded(DEFAULT_RETRY_AFTER_MILLISECONDS))
+
         AttemptEnd.Misdirected ->
             retryOrRefuse(next, charged = true, Refusal.Overloaded(DEFAULT_RETRY_AFTER_MILLISECONDS))
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -37,9 +37,11 @@
     private var waitingSince: Long? = null
     private var wanted = 0L
     private var timeoutCheck: ScheduledFuture<*>? = null
-    private var ended = false
+    var ended = false
+        private set
 
-    @Volatile var sent = false
+    private val decidedAt = now()
+    private var sent = false
 
     val number: Long get() = effect.attemptNumber
     var resumeToken: String? = null
@@ -64,6 +66,15 @@
         request(count)
     }
 
+    /** See [UpstreamClient.exchange]. Between the decision and this moment the process may have lacked processor time. */
+    fun beginSending(): Long? {
+        if (owner.callerGone) throw SendingPointless(AttemptEnd.Cancelled(0))
+        val timeLeft = effect.deadlineMilliseconds?.let { it - (now() - decidedAt) }
+        if (timeLeft != null && timeLeft <= 0) throw SendingPointless(AttemptEnd.Expired)
+        sent = true
+        return timeLeft
+    }
+
     fun cancelByControl() {
         end(AttemptEnd.Cancelled(framer.tokens))
         cancel()
@@ -100,6 +111,7 @@
 
     override fun hookOnError(throwable: Throwable) {
         if (ended) return
+        if (throwable is SendingPointless) return end(throwable.end)
         owner.attemptFailed(this, throwable)
         end(if (sent) AttemptEnd.Broken(framer.tokens, receivedBytes) else AttemptEnd.NotConnected)
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -40,6 +40,10 @@
     private var lacksEvent = false
     private var endMarkerPassed = false
 
+    /** Written on [loop]. */
+    @Volatile var callerGone = false
+        private set
+
     val streamed: Boolean get() = request.streamed
     val framing: StreamFraming get() = request.format.framing
 
@@ -59,7 +63,9 @@
     fun start(effect: EntryEffect.StartAttempt) {
         val attempt = Attempt(effect, this, loop, activeExchanges.now, activeExchanges.report)
         activeExchanges.register(attempt, this)
-        loop.execute { run(attempt) }
+        // Lets the loop read what has arrived before the request is sent: the caller may have closed its connection while
+        // this process lacked processor time.
+        loop.schedule({ run(attempt) }, SHORTEST_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
     fun cancel(attempt: Attempt) = loop.execute { attempt.cancelByControl() }
@@ -193,6 +199,7 @@
     }
 
     fun callerLeft() {
+        callerGone = true
         activeExchanges.report(EntryEvent.CallerLeft(number))
         activeExchanges.remove(this)
     }
@@ -203,6 +210,7 @@
     }
 
     private fun run(attempt: Attempt) {
+        if (attempt.ended) return
         current = attempt
         relay?.disconnect()
         val token = resumeToken
@@ -217,7 +225,7 @@
         }
         val body = request.body(attempt.effect.priority, resume)
         activeExchanges.client
-            .exchange(attempt.effect, request, AttemptContent(body, lastEventIdentifier)) { attempt.sent = true }
+            .exchange(attempt.effect, request, AttemptContent(body, lastEventIdentifier), attempt::beginSending)
             .publishOn(Schedulers.fromExecutor(loop), PREFETCHED_SIGNALS)
             .subscribe(attempt)
     }
@@ -252,6 +260,7 @@
 
     private companion object {
         const val PREFETCHED_SIGNALS = 4
+        const val SHORTEST_DELAY_MILLISECONDS = 1L
         const val LAST_BYTES_LIMIT_MILLISECONDS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -33,12 +33,15 @@
  * may belong to an earlier request too.
  */
 internal fun interface UpstreamClient {
-    /** [sent] is called before the first byte of the request leaves this process. */
+    /**
+     * [begin] is called before the first byte of the request leaves this process. It returns the milliseconds that are left
+     * to the caller's deadline, null if it has none, and throws [SendingPointless] if nothing may be sent any more.
+     */
     fun exchange(
         attempt: EntryEffect.StartAttempt,
         request: OutgoingRequest,
         content: AttemptContent,
-        sent: () -> Unit,
+        begin: () -> Long?,
     ): Flux<UpstreamSignal>
 }
 
@@ -56,7 +59,7 @@
     val pool = connections("upstream", IDLE_LIMIT)
     val nonIdempotentPool = connections("upstream-fresh", nonIdempotentIdleLimit)
     val unpooled = ConnectionProvider.newConnection()
-    return UpstreamClient { attempt, request, content, sent ->
+    return UpstreamClient { attempt, request, content, begin ->
         val connections =
             when {
                 attempt.newConnection -> unpooled
@@ -69,9 +72,11 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
             .doOnChannelInit { _, channel, _ ->
                 channel.pipeline().replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, UpstreamCodec())
-            }.doOnRequest { _, _ -> sent() }
-            .doOnResponse { response, connection -> closeIfMismatched(response, connection, request.format) }
-            .headers { headers -> setHeaders(headers, attempt, request, content) }
+            }.doOnRequest { prepared, _ ->
+                val timeLeft = attempt.copy(deadlineMilliseconds = begin())
+                setAttemptHeaders(prepared.requestHeaders(), timeLeft, request, content)
+            }.doOnResponse { response, connection -> closeIfMismatched(response, connection, request.format) }
+            .headers { headers -> setHeaders(headers, request, content) }
             .request(request.method)
             .uri("http://${attempt.address}${request.uri}")
             .send(Mono.just(Unpooled.wrappedBuffer(content.body)))
@@ -94,12 +99,20 @@
 
 private fun setHeaders(
     headers: HttpHeaders,
-    attempt: EntryEffect.StartAttempt,
     request: OutgoingRequest,
     content: AttemptContent,
 ) {
     request.headers.forEach { (name, value) -> headers.add(name, value) }
     headers.set(HttpHeaderNames.CONTENT_LENGTH, content.body.size)
+}
+
+/** Some of these headers depend on the time at which the request is sent, which may be long after its decision. */
+private fun setAttemptHeaders(
+    headers: HttpHeaders,
+    attempt: EntryEffect.StartAttempt,
+    request: OutgoingRequest,
+    content: AttemptContent,
+) {
     request.format.attemptHeaders(attempt, content.lastEventIdentifier).forEach { (name, value) ->
         headers.set(name, value)
     }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.unwrap
 import hawthorncrank.common.KeyHash
+import hawthorncrank.common.MillisecondClock
 import hawthorncrank.common.systemClock
 import hawthorncrank.entry.CallerHeaders
 import hawthorncrank.entry.ExchangeProtocol
@@ -91,15 +92,18 @@
         routes: List<RequestRoute>,
         organisation: Organisation = organisation(tier = null),
         protocol: ExchangeProtocol = protocol(),
+        clock: MillisecondClock = systemClock(),
+        client: UpstreamClient = upstreamClient(),
     ): EntryProcess<EntryState> {
         val process =
             EntryProcess(
                 EntryFixture.settings(),
-                systemClock(),
+                clock,
                 EntryFixture.SILENT,
                 entryReducer(settings),
                 initialEntryState(settings),
                 KeyHash::verify,
+                client = client,
                 routed = RoutedTraffic(protocol) { Mono.never() },
             ).open("test").unwrap()
         val update = ControlToEntry.ConfigurationUpdate(1, configuration(routes, organisation), confirmed = true)
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry.internal
 
+import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.UpstreamTimeouts
 import io.netty.channel.Channel
@@ -10,6 +11,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertSame
 import kotlin.test.assertTrue
 
 class UpstreamClientTest {
@@ -50,10 +52,20 @@
         upstream.close()
     }
 
+    @Test
+    fun `nothing is sent if it is pointless`() {
+        val pointless = SendingPointless(AttemptEnd.Expired)
+        val failure = runCatching { call(upstreamClient(), idempotent = true) { throw pointless } }.exceptionOrNull()
+        assertSame(pointless, failure)
+        assertEquals(0, upstream.headers.size)
+        upstream.close()
+    }
+
     private fun call(
         client: UpstreamClient,
         idempotent: Boolean,
         newConnection: Boolean = false,
+        begin: () -> Long? = { 900 },
     ) {
         val request =
             OutgoingRequest(
@@ -72,12 +84,12 @@
                 address = "127.0.0.1:${upstream.port}",
                 priority = 1,
                 timeouts = UpstreamTimeouts(1_000, 1_000, 1_000),
-                deadlineMilliseconds = 900,
+                deadlineMilliseconds = 1_500,
                 claimNumber = null,
                 resume = null,
                 newConnection = newConnection,
             )
-        client.exchange(attempt, request, AttemptContent(ByteArray(0), null)) {}.collectList().block()
+        client.exchange(attempt, request, AttemptContent(ByteArray(0), null), begin).collectList().block()
         assertEquals("900", upstream.headers.last()["hawthorncrank-deadline-milliseconds"])
     }
 
