Estimate engine speeds for placing prompts instead of assuming them

Cause: the placement of prompts used the speed, the chunk and the round trips of one deployment's data sheet.

Change: prefill speed and network delays are estimated from first tokens, with a start value for a slow engine. The classes that are kept apart follow from the pauses that the operator asks for and from the prompts that were seen; how many engines are kept for them follows their share of the load. First tokens that come later than the entry's own work explains, or are overdue, count against their engine for about a second: they show the work of other entries. Penalties are shares of the target to the first event.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -18,7 +18,7 @@
 ) {
     val attempt = state.attempts.running[attemptNumber] ?: return
     updateAttempt(attempt.copy(firstByteAt = attempt.firstByteAt ?: now))
-    state = state.copy(router = state.router.firstTokenReceived(attempt.requestNumber))
+    state = state.copy(router = state.router.firstTokenReceived(attempt.requestNumber, now))
     val active = currentRequest(attempt) ?: return staleFirstByte(attempt)
     if (!failed) contentsBegan(active.request)
     update(active.copy(firstByteAt = active.firstByteAt ?: now))
--- a/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
@@ -54,7 +54,10 @@
     ): Router
 
     /** Records that the first token has arrived, so that the engine has finished the prefill of the prompt. */
-    fun firstTokenReceived(attemptNumber: Long): Router
+    fun firstTokenReceived(
+        attemptNumber: Long,
+        now: Long,
+    ): Router
 
     /** Records progress of an attempt; [tokens] is its total so far. */
     fun attemptProgress(
--- /dev/null
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Candidates.kt
@@ -0,0 +1,45 @@
+package hawthorncrank.routing.internal
+
+/** The usable upstreams of a target by distance, in a fixed order. */
+internal class Candidates(
+    states: List<UpstreamState>,
+) {
+    val all: List<String> = states.map { it.settings.name }
+    private val byDistance =
+        Distance.entries.map { distance ->
+            states.filter { it.distance == distance }.map { it.settings.name }
+        }
+    private val places: Map<String, ZonePlace> =
+        states
+            .groupBy { it.settings.availabilityZone }
+            .values
+            .flatMap(::places)
+            .toMap()
+
+    fun at(distance: Distance): List<String> = byDistance[distance.ordinal]
+
+    /**
+     * Whether the engine is one of the [share] of its zone that is kept for short prompts. A larger share adds engines to
+     * those of a smaller one, so entries with different shares agree on most engines.
+     */
+    fun isForShortPrompts(
+        name: String,
+        share: Double,
+    ): Boolean {
+        val place = places[name] ?: return false
+        if (place.zoneSize == 1) return false
+        return place.rank < (place.zoneSize * share + 0.5).toInt().coerceIn(1, place.zoneSize - 1)
+    }
+
+    private fun places(zone: List<UpstreamState>): List<Pair<String, ZonePlace>> =
+        zone
+            .map { it.settings.name }
+            .sortedByDescending { PromptDelays.rendezvousRank(0, it) }
+            .mapIndexed { rank, name -> name to ZonePlace(rank, zone.size) }
+
+    /** The place of an engine in an order of the engines of its zone that all entries compute alike. */
+    private class ZonePlace(
+        val rank: Int,
+        val zoneSize: Int,
+    )
+}
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -1,13 +1,16 @@
 package hawthorncrank.routing.internal
 
 import hawthorncrank.scheduling.QueuedWork
+import hawthorncrank.scheduling.WorkTarget
+import kotlinx.collections.immutable.PersistentMap
 import java.util.SplittableRandom
 
 /**
  * Estimates how many milliseconds each engine would take to the first token of a prompt, from what this entry knows:
- * the prefill that the engine still has to do for this entry, the prefill of this prompt, and the network round trip.
- * The estimate also includes the time that this entry's running requests add, and a penalty if the engine is meant for
- * prompts of another length.
+ * the prefill that the engine still has to do for this entry, the prefill of this prompt, the network round trip, and how
+ * much later than that its first tokens came recently. The estimate also includes the time that this entry's running
+ * requests add, and a penalty if the engine is meant for prompts of other classes. The speeds of engines and network are
+ * estimated from first tokens; targets and slots are the operator's.
  *
  * An entry sees only its own work. So that all entries send a shared part of a prompt to the same engine without
  * communicating, every entry computes the same preferred engine for the part and assumes that this engine holds it.
@@ -15,26 +18,53 @@
  * engine has more prefill to do than the part itself.
  *
  * The prefill of a long prompt delays the tokens of all other requests on the engine. Some engines of each zone are
- * therefore kept for short prompts, whose callers wait for the next word.
+ * therefore kept for the classes whose callers count the shortest pauses ([TargetLoad.pauseSensitive]). Their number
+ * follows the share of these classes in the load.
  */
 internal class PromptDelays(
     private val state: RouterState,
     private val work: QueuedWork,
-    private val matches: Map<String, Double>,
+    private val now: Long,
+    private val matches: Map<String, Double> = state.prefixMatches(work),
 ) {
     private val candidates = state.candidates[work.target]
-    private val isLong = work.promptTokens >= LONG_PROMPT_TOKENS
+    private val load = state.loads[work.target] ?: TargetLoad()
+    private val sensitive = load.pauseSensitive(state.classes, now)
+    private val isSensitive = work.className in sensitive
+    private val target = (state.classes[work.className]?.firstToken?.value ?: DEFAULT_TARGET_MILLISECONDS).toDouble()
+    private val shortestTarget: Long =
+        state.classes.values
+            .filter { it.betweenTokens != null }
+            .mapNotNull { it.firstToken?.value }
+            .minOrNull() ?: DEFAULT_TARGET_MILLISECONDS
     private val preferred = preferredEngine()
+    private val overdue: Map<String, Double> by lazy(LazyThreadSafetyMode.NONE, ::overdueAttempts)
 
     fun delay(name: String): Double {
         val upstream = state.upstreams.getValue(name)
-        val prefillTokens = if (holds(name)) work.promptTokens - work.sharedTokens else work.promptTokens
-        return (upstream.pendingPrefillTokens + prefillTokens) / PREFILL_TOKENS_PER_MILLISECOND +
-            ROUND_TRIP_MILLISECONDS[upstream.distance.ordinal] +
-            upstream.ownAttempts * MILLISECONDS_PER_RUNNING_REQUEST +
-            promptLengthPenalty(name)
+        val excess = maxOf(upstream.excess.value(now), overdue[name] ?: 0.0)
+        return load.speed.millisecondsFor(upstream.pendingPrefillTokens + prefillTokens(name)) +
+            state.networkDelays.roundTrip(upstream.distance) +
+            excess +
+            upstream.ownAttempts * millisecondsPerRunningRequest(upstream.slots) +
+            classPenalty(name)
     }
 
+    /** The tokens of the prompt that the engine probably does not hold. */
+    fun prefillTokens(name: String): Int = if (holds(name)) work.promptTokens - work.sharedTokens else work.promptTokens
+
+    /** The loads of all targets with this prompt, for which an engine has to prefill [prefillTokens]. */
+    fun loadsWith(prefillTokens: Int): PersistentMap<WorkTarget, TargetLoad> {
+        val slots = candidates?.all?.firstOrNull()?.let { state.upstreams.getValue(it).slots } ?: 1
+        val perRequest = millisecondsPerRunningRequest(slots)
+        return state.loads.put(work.target, started(prefillTokens, perRequest))
+    }
+
+    private fun started(
+        prefillTokens: Int,
+        millisecondsPerRequest: Double,
+    ) = load.started(work.className, work.promptTokens, prefillTokens, sensitive, millisecondsPerRequest, now)
+
     private fun holds(name: String): Boolean {
         if (name == preferred) return true
         val parts = work.prefixBlocks.size
@@ -44,8 +74,9 @@
     private fun preferredEngine(): String? {
         val part = work.prefixBlocks.getOrNull(maxOf(0, work.prefixBlocks.size - 2)) ?: return null
         val all = candidates?.all.orEmpty()
-        val eligible = all.filter { isLong != (candidates?.isForShortPrompts(it) ?: false) }.ifEmpty { all }
-        val worthLeavingZone = work.sharedTokens / PREFILL_TOKENS_PER_MILLISECOND > ROUND_TRIP_MILLISECONDS.last()
+        val eligible = all.filter { isSensitive == isForShortPrompts(it) }.ifEmpty { all }
+        val farthest = state.networkDelays.roundTrip(Distance.OTHER_REGION)
+        val worthLeavingZone = load.speed.millisecondsFor(work.sharedTokens) > farthest
         val inZone = eligible.filter(::isInZone)
         val considered = if (worthLeavingZone || inZone.isEmpty()) eligible else inZone
         return considered.maxByOrNull { rendezvousRank(part, it) }
@@ -53,40 +84,40 @@
 
     private fun isInZone(name: String) = state.upstreams.getValue(name).distance == Distance.ZONE
 
-    private fun promptLengthPenalty(name: String): Double {
-        val forShort = candidates?.isForShortPrompts(name) ?: return 0.0
+    private fun isForShortPrompts(name: String): Boolean =
+        sensitive.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
+
+    private fun classPenalty(name: String): Double {
+        val forShort = isForShortPrompts(name)
         return when {
-            isLong && forShort -> LONG_PROMPT_PENALTY_MILLISECONDS
-            !isLong && !forShort -> SHORT_PROMPT_PENALTY_MILLISECONDS
-            else -> 0.0
+            sensitive.isEmpty() || isSensitive == forShort -> 0.0
+            isSensitive -> target * PAUSES_PENALTY
+            else -> target * CAUSED_PAUSES_PENALTY
         }
     }
 
+    /** An engine whose slots are all in use takes about as much longer for an answer as two of the shortest targets. */
+    private fun millisecondsPerRunningRequest(slots: Int): Double = 2.0 * shortestTarget / slots
+
+    /** The longest time by which an attempt of this entry that still waits for its first token is overdue, by engine. */
+    private fun overdueAttempts(): Map<String, Double> {
+        val longest = HashMap<String, Double>()
+        for (running in state.attempts.values) {
+            if (!running.prefilling) continue
+            val upstream = state.upstreams[running.attempt.upstream] ?: continue
+            longest.merge(running.attempt.upstream, state.overdue(running, upstream.distance, now), ::maxOf)
+        }
+        return longest
+    }
+
     companion object {
-        /** The prefill speed from the engines' data sheet, rounded down. */
-        const val PREFILL_TOKENS_PER_MILLISECOND = 60.0
-
-        /**
-         * An engine processes 2,048 prompt tokens in a step, and a step takes longer the more tokens precede it: after
-         * this many, over 50 ms by the engines' data sheet. Two such steps come close to the shortest pause between
-         * events that a route allows.
-         */
-        const val LONG_PROMPT_TOKENS = 12_000
-
-        /** Round trips by the deployments' data sheet: within a zone, within a region, and to another region. */
-        val ROUND_TRIP_MILLISECONDS = listOf(0.0, 2.0, 40.0)
-
-        /** The time that one more running request adds to a usual answer, which takes a hundred steps. */
-        const val MILLISECONDS_PER_RUNNING_REQUEST = 16.0
-
-        /**
-         * The pauses that long prompts cause in a short answer cost its caller more than the round trip to another
-         * region.
-         */
-        const val SHORT_PROMPT_PENALTY_MILLISECONDS = 60.0
-
-        /** A long prompt may wait for the prefill of another one before it goes to an engine for short prompts. */
-        const val LONG_PROMPT_PENALTY_MILLISECONDS = 1_000.0
+        const val DEFAULT_TARGET_MILLISECONDS = 500L
+
+        /** The share of its target that a request accepts to avoid pauses in its own answer. */
+        const val PAUSES_PENALTY = 0.25
+
+        /** The share of its target that a request waits for other engines before it causes pauses in others' answers. */
+        const val CAUSED_PAUSES_PENALTY = 1.0
 
         const val ROUNDING_TOLERANCE = 0.01
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.protocol.TrafficClass
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
+import hawthorncrank.routing.ChoiceRule
 import hawthorncrank.routing.RoutedAttempt
 import hawthorncrank.routing.Router
 import hawthorncrank.routing.RouterLocation
@@ -12,6 +13,7 @@
 import hawthorncrank.routing.RoutingPolicy
 import hawthorncrank.routing.RoutingQuestion
 import hawthorncrank.routing.UpstreamLoad
+import hawthorncrank.scheduling.QueuedWork
 import hawthorncrank.scheduling.WorkTarget
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
@@ -39,6 +41,8 @@
     val attempts: PersistentMap<Long, RunningAttempt> = persistentHashMapOf(),
     val prefixes: PrefixIndex = PrefixIndex(),
     val medians: PersistentMap<WorkTarget, PeerMedian> = persistentHashMapOf(),
+    val loads: PersistentMap<WorkTarget, TargetLoad> = persistentHashMapOf(),
+    val networkDelays: NetworkDelays = NetworkDelays(),
     val crossRegionBytes: PersistentMap<String, Long> = persistentHashMapOf(),
 ) : Router {
     override val view: RouterView
@@ -101,24 +105,60 @@
         now: Long,
     ): Router {
         val state = upstreams[attempt.upstream] ?: return this
+        val compares = policy.choice == ChoiceRule.LEAST_DELAY && attempt.work.promptTokens > 0
+        val delays = if (compares) PromptDelays(this, attempt.work, now) else null
+        val prefillTokens = delays?.prefillTokens(attempt.upstream) ?: 0
+        val running = RunningAttempt(attempt, now, prefillTokens, state.pendingPrefillTokens)
         val next =
             copy(
-                upstreams = upstreams.put(attempt.upstream, state.started(attempt)),
-                attempts = attempts.put(attempt.number, RunningAttempt(attempt, 0, now)),
+                upstreams = upstreams.put(attempt.upstream, state.started(attempt, prefillTokens)),
+                attempts = attempts.put(attempt.number, running),
+                loads = delays?.loadsWith(prefillTokens) ?: loads,
                 prefixes =
                     if (policy.prefixAffinity) prefixes.add(attempt.work.prefixBlocks, state.cache) else prefixes,
             )
         return next.countCrossRegionBytes(state, attempt, attempt.work.bodyBytes.toLong())
     }
 
-    override fun firstTokenReceived(attemptNumber: Long): Router {
+    override fun firstTokenReceived(
+        attemptNumber: Long,
+        now: Long,
+    ): Router {
         val running = attempts[attemptNumber] ?: return this
         val state = upstreams[running.attempt.upstream] ?: return this
         if (!running.prefilling) return this
+        val observed = state.copy(excess = state.excess.observe(overdue(running, state.distance, now), now))
         return copy(
-            upstreams = upstreams.put(running.attempt.upstream, state.prefillEnded(running.attempt.work)),
+            upstreams = upstreams.put(running.attempt.upstream, observed.prefillEnded(running)),
             attempts = attempts.put(attemptNumber, running.copy(prefilling = false)),
-        )
+        ).learnSpeeds(running, state.distance, now)
+    }
+
+    /** By how many milliseconds the attempt has waited for its first token longer than this entry's own work explains. */
+    fun overdue(
+        running: RunningAttempt,
+        distance: Distance,
+        now: Long,
+    ): Double {
+        val speed = (loads[running.attempt.work.target] ?: TargetLoad()).speed
+        val expected =
+            speed.millisecondsFor(running.waitingTokens + running.prefillTokens) + networkDelays.roundTrip(distance)
+        return now - running.startedAt - expected
+    }
+
+    /** An attempt that waited for no other one of this entry shows the speed of the engine and of the network. */
+    private fun learnSpeeds(
+        running: RunningAttempt,
+        distance: Distance,
+        now: Long,
+    ): RouterState {
+        val target = running.attempt.work.target
+        if (running.waitingTokens > 0 || running.prefillTokens == 0) return this
+        val load = loads[target] ?: TargetLoad()
+        val elapsed = (now - running.startedAt).toDouble()
+        val network = networkDelays.observe(distance, elapsed - load.speed.millisecondsFor(running.prefillTokens))
+        val speed = load.speed.observe(running.prefillTokens, elapsed - networkDelays.roundTrip(distance))
+        return copy(loads = loads.put(target, load.copy(speed = speed)), networkDelays = network)
     }
 
     override fun attemptProgress(
@@ -143,7 +183,7 @@
         val attempt = running.attempt
         val next = copy(attempts = attempts.remove(attemptNumber))
         val known = upstreams[attempt.upstream] ?: return next
-        val state = if (running.prefilling) known.prefillEnded(attempt.work) else known
+        val state = if (running.prefilling) known.prefillEnded(running) else known
         return next
             .copy(upstreams = upstreams.put(attempt.upstream, state.ended(attempt)))
             .countCrossRegionBytes(state, attempt, answerBytes)
@@ -177,6 +217,10 @@
 
     fun speedFactor(state: UpstreamState): Double = if (policy.slowDetection) state.speed.factor else 1.0
 
+    /** The fraction of the prompt's blocks that engines hold by this entry's records. */
+    fun prefixMatches(work: QueuedWork): Map<String, Double> =
+        if (policy.prefixAffinity) prefixes.matches(work.prefixBlocks) { upstreams[it]?.cache } else emptyMap()
+
     private fun observeInterval(
         upstream: String,
         interval: Double,
@@ -289,50 +333,6 @@
     }
 }
 
-/** The usable upstreams of a target by distance, in a fixed order. */
-internal class Candidates(
-    states: List<UpstreamState>,
-) {
-    val all: List<String> = states.map { it.settings.name }
-    private val byDistance =
-        Distance.entries.map { distance ->
-            states.filter { it.distance == distance }.map { it.settings.name }
-        }
-
-    private val forShortPrompts =
-        states
-            .groupBy { it.settings.availabilityZone }
-            .values
-            .flatMapTo(HashSet()) { shortPromptEngines(it) }
-
-    fun at(distance: Distance): List<String> = byDistance[distance.ordinal]
-
-    fun isForShortPrompts(name: String): Boolean = name in forShortPrompts
-
-    private fun shortPromptEngines(zone: List<UpstreamState>): List<String> {
-        val count = (zone.size * SHORT_PROMPT_SHARE + 0.5).toInt()
-        return zone.map { it.settings.name }.sortedByDescending { PromptDelays.rendezvousRank(0, it) }.take(count)
-    }
-
-    private companion object {
-        // Keeps one engine, the fewest possible, for short prompts in a zone with two or three engines.
-        const val SHORT_PROMPT_SHARE = 0.34
-    }
-}
-
-/** An attempt that has not ended. [prefilling] is true until its first token. */
-internal data class RunningAttempt(
-    val attempt: RoutedAttempt,
-    val tokens: Int,
-    val tokensAt: Long,
-    val prefilling: Boolean = true,
-)
-
-internal class PeerMedian(
-    val value: Double?,
-    val at: Long,
-)
-
 private class StateView(
     private val state: RouterState,
 ) : RouterView {
--- /dev/null
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
@@ -0,0 +1,99 @@
+package hawthorncrank.routing.internal
+
+import hawthorncrank.protocol.TrafficClass
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlin.math.abs
+
+/**
+ * What this entry has observed of the prompts of one target. [shortShare] is the share of engines that is kept for the
+ * classes whose callers count short pauses.
+ */
+internal data class TargetLoad(
+    val speed: PrefillSpeed = PrefillSpeed(),
+    val classes: PersistentMap<String, ClassLoad> = persistentHashMapOf(),
+    val shortShare: Double = INITIAL_SHARE,
+) {
+    /**
+     * The classes that are kept apart from long prompts: those whose prompts are shorter than the longest ones and whose
+     * callers count shorter pauses. Empty if all classes of the target are alike. Until enough prompts were seen, the
+     * classes with long pauses are taken for those with long prompts.
+     */
+    fun pauseSensitive(
+        configured: Map<String, TrafficClass>,
+        now: Long,
+    ): Set<String> {
+        val known = requests(now) >= ENOUGH_REQUESTS
+        val considered = configured.values.filter { !known || requests(it.name, now) >= LEAST_REQUESTS }
+        val size: (TrafficClass) -> Double = { if (known) averagePrompt(it, now) else it.pause.toDouble() }
+        val longest = considered.maxOfOrNull(size) ?: return emptySet()
+        val (long, short) = considered.partition { size(it) > longest * LONG }
+        val shortestOfLong = long.minOf { it.pause }
+        return short.filter { it.pause < shortestOfLong }.mapTo(HashSet()) { it.name }
+    }
+
+    /** Counts a started attempt with [prefillTokens] of its [promptTokens] to prefill, and lets the share follow the load with some hysteresis. */
+    fun started(
+        className: String,
+        promptTokens: Int,
+        prefillTokens: Int,
+        sensitive: Set<String>,
+        millisecondsPerRequest: Double,
+        now: Long,
+    ): TargetLoad {
+        val next =
+            copy(
+                classes =
+                    classes.put(
+                        className,
+                        (classes[className] ?: ClassLoad()).started(promptTokens, prefillTokens, now),
+                    ),
+            )
+        if (next.requests(now) < ENOUGH_REQUESTS) return next
+        val wanted = next.wantedShare(sensitive, millisecondsPerRequest, now)
+        return if (abs(wanted - shortShare) < SHARE_STEP) next else next.copy(shortShare = wanted)
+    }
+
+    private fun wantedShare(
+        sensitive: Set<String>,
+        millisecondsPerRequest: Double,
+        now: Long,
+    ): Double {
+        val work = classes.mapValues { (_, load) -> load.work(speed, millisecondsPerRequest, now) }
+        val ofSensitive = work.filterKeys { it in sensitive }.values.sum()
+        return (ofSensitive / work.values.sum().coerceAtLeast(1.0) * RESERVED).coerceAtMost(LARGEST_SHARE)
+    }
+
+    private fun requests(now: Long): Double = classes.values.sumOf { it.requests.value(now) }
+
+    private fun requests(
+        className: String,
+        now: Long,
+    ): Double = classes[className]?.requests?.value(now) ?: 0.0
+
+    private fun averagePrompt(
+        trafficClass: TrafficClass,
+        now: Long,
+    ): Double = classes[trafficClass.name]?.averagePrompt(now) ?: 0.0
+
+    private val TrafficClass.pause: Long
+        get() = betweenTokens?.value ?: Long.MAX_VALUE
+
+    private companion object {
+        /** With fewer recent requests the observed mix says little, and all configured classes are considered. */
+        const val ENOUGH_REQUESTS = 10.0
+        const val LEAST_REQUESTS = 0.2
+        const val INITIAL_SHARE = 1.0 / 3
+        const val SHARE_STEP = 0.08
+        const val LARGEST_SHARE = 0.5
+
+        /** Prompts above this share of the longest ones count as long. */
+        const val LONG = 0.6
+
+        /**
+         * The engines for short prompts need not hold all of these, because short prompts may also go to the others, where
+         * they only have more pauses.
+         */
+        const val RESERVED = 1.0
+    }
+}
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
@@ -25,12 +25,7 @@
     private val random = SplittableRandom(state.seed)
     private val work = question.work
     private val nearest = state.nearestDistance(work.target)
-    private val matches: Map<String, Double> =
-        if (state.policy.prefixAffinity) {
-            state.prefixes.matches(work.prefixBlocks) { state.upstreams[it]?.cache }
-        } else {
-            emptyMap()
-        }
+    private val matches: Map<String, Double> = state.prefixMatches(work)
 
     fun choose(): RoutingAnswer {
         val candidates = state.candidates[work.target] ?: return RoutingAnswer.NoUpstream
@@ -101,7 +96,7 @@
      * distance.
      */
     private fun leastDelay(names: List<String>): RoutingAnswer? {
-        val delays = PromptDelays(state, work, matches)
+        val delays = PromptDelays(state, work, now, matches)
         val free = names.filter(::hasFreeRoom)
         val normal = free.filter { state.speedFactor(upstream(it)) >= 1.0 }
         return normal.ifEmpty { free }.minByOrNull(delays::delay)?.let { chosen(it, overcommitted = false) }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
@@ -4,7 +4,6 @@
 import hawthorncrank.routing.RoutedAttempt
 import hawthorncrank.routing.UpstreamLoad
 import hawthorncrank.scheduling.CapacityKind
-import hawthorncrank.scheduling.QueuedWork
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlin.math.pow
@@ -25,6 +24,7 @@
     val report: ObservedReport? = null,
     val speed: SpeedState = SpeedState(),
     val cache: CacheState = CacheState(settings.name),
+    val excess: ExcessDelay = ExcessDelay(),
 ) {
     val usable: Boolean
         get() = eligible && !settings.leaving
@@ -42,16 +42,14 @@
         return sum
     }
 
-    fun started(attempt: RoutedAttempt): UpstreamState =
-        counted(attempt, 1).copy(
-            pendingPrefillTokens = pendingPrefillTokens + attempt.work.promptTokens - attempt.work.sharedTokens,
-        )
+    fun started(
+        attempt: RoutedAttempt,
+        prefillTokens: Int,
+    ): UpstreamState = counted(attempt, 1).copy(pendingPrefillTokens = pendingPrefillTokens + prefillTokens)
 
-    /** Removes the prompt of [work] from the pending prefill. */
-    fun prefillEnded(work: QueuedWork): UpstreamState =
-        copy(
-            pendingPrefillTokens = (pendingPrefillTokens - work.promptTokens + work.sharedTokens).coerceAtLeast(0),
-        )
+    /** Removes the prompt of the attempt from the pending prefill. */
+    fun prefillEnded(running: RunningAttempt): UpstreamState =
+        copy(pendingPrefillTokens = (pendingPrefillTokens - running.prefillTokens).coerceAtLeast(0))
 
     fun ended(attempt: RoutedAttempt): UpstreamState = counted(attempt, -1)
 
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptDelaysTest.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptDelaysTest.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.routing
 
+import hawthorncrank.common.Milliseconds
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.TrafficClass
 import hawthorncrank.protocol.Upstream
@@ -49,7 +50,7 @@
                 name
             }
         assertTrue(placed.toSet().size > 1, "all go to ${placed.first()}")
-        val prefilled = placed.indices.fold(router) { next, index -> next.firstTokenReceived(index + 1L) }
+        val prefilled = placed.indices.fold(router) { next, index -> next.firstTokenReceived(index + 1L, 300) }
         assertTrue(place(prefilled, long(7, 99)) in placed, "an engine without the prompt is chosen")
     }
 
@@ -86,7 +87,7 @@
         entries: Int = 1,
         seed: Long = zone.hashCode().toLong(),
     ) = router(
-        Configuration(classes = listOf(TrafficClass("class", 1)), upstreams = upstreams),
+        Configuration(classes = listOf(PLAN, GUESS), upstreams = upstreams),
         RouterLocation(zone, zone),
         liveEntries = entries,
         randomSeed = seed,
@@ -101,19 +102,21 @@
     private fun long(
         part: Long,
         number: Long,
-    ) = work(number, promptTokens = 17_000, sharedTokens = 13_300, listOf(part, part * 1_000 + number))
+    ) = work(number, PLAN, promptTokens = 17_000, sharedTokens = 13_300, listOf(part, part * 1_000 + number))
 
-    private fun short(number: Long) = work(number, promptTokens = 1_460, sharedTokens = 350, listOf(number % 8, number))
+    private fun short(number: Long) =
+        work(number, GUESS, promptTokens = 1_460, sharedTokens = 350, listOf(number % 8, number))
 
     private fun work(
         number: Long,
+        trafficClass: TrafficClass,
         promptTokens: Int,
         sharedTokens: Int,
         blocks: List<Long>,
     ) = QueuedWork(
         number,
         "organisation",
-        "class",
+        trafficClass.name,
         1,
         WorkTarget.Model("model"),
         arrival = 0,
@@ -131,4 +134,9 @@
         zone: String,
         slots: Int = 64,
     ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, models = listOf("model"), slots = slots)
+
+    private companion object {
+        val PLAN = TrafficClass("plan", 1, firstToken = Milliseconds(2_500), betweenTokens = Milliseconds(500))
+        val GUESS = TrafficClass("guess", 1, firstToken = Milliseconds(500), betweenTokens = Milliseconds(120))
+    }
 }
