Let control replicas read the platform's list for their entries

Cause: every entry asked the platform for its list once per second.

Change: an entry asks its replica twice per second; the replica reads the list once per second while entries ask and answers with the list, or only its age if the entry has it. The age counts from the entry's question. An entry whose list is 2 s old reads it itself (event 1514), so it learns without control which upstreams leave. New setting platform_address of a control replica, events 2065 and 2066. ListedUpstream moves to the protocol module. Replicas of older builds do not know the question: update replicas before entries.

--- a/control/src/main/kotlin/hawthorncrank/control/Control.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/Control.kt
@@ -11,8 +11,10 @@
 import hawthorncrank.consensus.replicaStorage
 import hawthorncrank.control.internal.ControlProcess
 import hawthorncrank.control.internal.storageFailure
+import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.OperatorAnswer
 import hawthorncrank.protocol.OperatorCommand
+import reactor.core.publisher.Mono
 import java.nio.file.Path
 
 /** A running control replica. Closing it syncs the queued writes to disk and closes its links. */
@@ -31,15 +33,20 @@
     )
 }
 
+/** Asks the platform for all upstreams that it lists. */
+typealias UpstreamListSource = () -> Mono<List<ListedUpstream>>
+
 /**
  * Starts a control replica. Error messages name [file] as the settings file. [onFatalError] is called when the replica
- * cannot continue, on a thread that must not wait for [Control.close].
+ * cannot continue, on a thread that must not wait for [Control.close]. Entries that are linked to the replica get the
+ * platform's list from [upstreams]; without it they read the list themselves.
  */
 fun startControl(
     settings: ControlSettings,
     file: String,
     clock: MillisecondClock,
     log: EventLog,
+    upstreams: UpstreamListSource? = null,
     onFatalError: () -> Unit,
 ): Result<Control, SettingsFailure> {
     val effective = settings.withDiscoveredReplicas()
@@ -48,6 +55,7 @@
     return storage
         .open()
         .mapError { storageFailure(file, settings, it) }
-        .andThen { recovered -> ControlProcess(effective, file, clock, log, storage, recovered, onFatalError).open() }
-        .onFailure { storage.close() }
+        .andThen { recovered ->
+            ControlProcess(effective, file, clock, log, storage, recovered, upstreams, onFatalError).open()
+        }.onFailure { storage.close() }
 }
--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -31,6 +31,8 @@
     val toleratedLosses: Int? = null,
     @SerialName("operator_address")
     val operatorAddress: String? = null,
+    @SerialName("platform_address")
+    val platformAddress: String? = null,
     val heartbeat: Milliseconds? = null,
     @SerialName("election_timeout")
     val electionTimeout: Milliseconds? = null,
--- a/control/src/main/kotlin/hawthorncrank/control/Main.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/Main.kt
@@ -19,7 +19,7 @@
         val log = eventLog("control")
         runControl(log) { onFatalError ->
             loadSettings(settings, ControlSettings.serializer())
-                .andThen { startControl(it, file, systemClock(), log, onFatalError) }
+                .andThen { startControl(it, file, systemClock(), log, onFatalError = onFatalError) }
         }
     }
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -42,6 +42,11 @@
         val fencing: FencingNumber,
     ) : ControlEffect
 
+    /** Read the platform's list of upstreams and report it as [ControlEvent.UpstreamsListed]. */
+    data class ReadUpstreamList(
+        val askedAt: Long,
+    ) : ControlEffect
+
     /** Record the time from the arrival of a command at this replica until it was applied here. */
     data class MeasureCommand(
         val kind: String,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
@@ -3,6 +3,7 @@
 import hawthorncrank.consensus.ReplicaEvent
 import hawthorncrank.control.FencingNumber
 import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.OperatorCommand
 
 /**
@@ -37,6 +38,12 @@
         val answer: OrderAnswer,
     ) : ControlEvent
 
+    /** The platform's list, or null if it could not be read. [askedAt] is when the process began to read it. */
+    data class UpstreamsListed(
+        val askedAt: Long,
+        val upstreams: List<ListedUpstream>?,
+    ) : ControlEvent
+
     /** Sent every 100 ms. */
     data class Tick(
         val wallTime: Long,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
@@ -27,6 +27,8 @@
     CONVICTION_ADDED(2052, Level.WARN, "request content is convicted"),
     ORDER_POSTED(2060, Level.INFO, "order sent to an engine"),
     ORDER_ENDED(2061, Level.INFO, "order to an engine ended"),
+    UPSTREAM_LIST_UNAVAILABLE(2065, Level.WARN, "the platform's list of upstreams cannot be read"),
+    UPSTREAM_LIST_RESTORED(2066, Level.INFO, "the platform's list of upstreams is read again"),
     STORAGE_FAILED(2070, Level.ERROR, "data folder failed; the replica stops"),
     REDUCER_FAILED(2071, Level.ERROR, "processing an event failed; the replica stops"),
     EFFECT_FAILED(2072, Level.ERROR, "an effect could not be carried out"),
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -16,6 +16,7 @@
 import hawthorncrank.consensus.startReplica
 import hawthorncrank.control.Control
 import hawthorncrank.control.ControlSettings
+import hawthorncrank.control.UpstreamListSource
 import hawthorncrank.control.formation
 import hawthorncrank.control.formsGroup
 import hawthorncrank.link.LinkFailure
@@ -34,6 +35,7 @@
     private val log: EventLog,
     private val storage: ReplicaStorage,
     recovered: RecoveredReplica,
+    upstreams: UpstreamListSource?,
     private val onFatalError: () -> Unit,
 ) : Control {
     private val replicaSettings =
@@ -48,6 +50,7 @@
     private val storageThread = StorageThread(storage, log, { thread.send(ControlEvent.Replica(it)) }, onFatalError)
     private val orders = OrderClient(::expiryOf, thread::send)
     private val metrics = ControlMetrics({ thread.state }, log::dropped)
+    private val listReader = upstreams?.let { UpstreamListReader(it, thread::send, log) }
     private val closed = AtomicBoolean()
     private val localOperators = LocalOperators { thread.send(it) }
     private var server: DisposableServer? = null
@@ -124,6 +127,7 @@
                 }
             is ControlEffect.CloseLink -> links.closeLink(effect.link)
             is ControlEffect.PostOrder -> orders.post(effect)
+            is ControlEffect.ReadUpstreamList -> listReader?.read(effect.askedAt)
             is ControlEffect.MeasureCommand -> metrics.measure(effect)
             is ControlEffect.Record -> log.record(effect.event, effect.fields)
         }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -94,6 +94,7 @@
         is ControlEvent.OperatorMessage -> operatorMessage(event)
         is ControlEvent.LinkClosed -> linkClosed(event.link)
         is ControlEvent.OrderAnswered -> orderAnswered(event)
+        is ControlEvent.UpstreamsListed -> upstreamsListed(event)
         is ControlEvent.Tick -> tick(event)
         ControlEvent.Stop -> stop()
     }
@@ -107,6 +108,7 @@
     expireExplanations()
     judgeSuspects()
     closeLinksWithoutLeader()
+    readUpstreamList()
     if (now < state.nextDutiesAt) return
     state = state.copy(nextDutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
     reportLostEntries()
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -33,6 +33,7 @@
         is EntryToControl.CrashReport -> handleCrashReport(event.entry, message)
         is EntryToControl.SuspicionsRefuted -> handleRefutation(event.entry, message)
         is EntryToControl.ConfirmConfiguration -> handleConfirmationRequest(event.link, message)
+        is EntryToControl.ListUpstreams -> handleListRequest(event.link, message)
         is EntryToControl.EntryStatus -> updateStatus(event.link, message)
         is EntryToControl.ExplainAnswer -> handleExplainAnswer(event.link, message)
     }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -38,6 +38,7 @@
     val orderAttempts: PersistentMap<String, OrderAttempt> = persistentMapOf(),
     val nextDutiesAt: Long = 0,
     val stopping: Boolean = false,
+    val upstreamList: UpstreamListState = UpstreamListState(),
     /**
      * Replacements of the configuration are refused until the group has this many voters, so that an early one is not
      * stored on a single disk.
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualEntry.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualEntry.kt
@@ -6,12 +6,12 @@
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.core.EntrySettings
-import hawthorncrank.entry.core.ListedUpstream
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.RetryPolicy
 import hawthorncrank.entry.core.entryReducer
 import hawthorncrank.entry.core.initialEntryState
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.ListedUpstream
 
 /** An entry in virtual time that links to the next of [replicas] after the present one has closed its link. */
 internal class VirtualEntry(
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualFleet.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualFleet.kt
@@ -6,13 +6,13 @@
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.core.EntrySettings
-import hawthorncrank.entry.core.ListedUpstream
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.RetryPolicy
 import hawthorncrank.entry.core.entryReducer
 import hawthorncrank.entry.core.initialEntryState
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.Organisation
 import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.TrafficClass
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -40,6 +40,7 @@
         lateinit var state: ProcessState
         lateinit var reducer: hawthorncrank.common.Reducer<ProcessState, ControlEvent, ControlEffect>
         val sent = ArrayList<Pair<Long, WireMessage>>()
+        val readings = ArrayList<ControlEffect.ReadUpstreamList>()
     }
 
     init {
@@ -71,6 +72,9 @@
 
     fun state(name: String): ProcessState = nodes.getValue(name).state
 
+    /** The readings of the platform's list that a replica began. */
+    fun readings(name: String): List<ControlEffect.ReadUpstreamList> = nodes.getValue(name).readings
+
     fun states(): List<ProcessState> = nodes.values.map { it.state }
 
     fun leader(): String =
@@ -161,6 +165,7 @@
                     queue += effect.replica to ControlEvent.Replica(ReplicaEvent.EnvelopeReceived(effect.envelope))
                 }
             is ControlEffect.SendToLink -> node.sent += effect.link to effect.message
+            is ControlEffect.ReadUpstreamList -> node.readings += effect
             is ControlEffect.PostOrder -> postedOrders += effect
             is ControlEffect.CloseLink -> closedLinks += effect.link
             is ControlEffect.MeasureCommand, is ControlEffect.Record -> Unit
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
@@ -15,6 +15,8 @@
     val brokenConnectionIsCrash: Boolean = true,
     /** Consecutive failed connection attempts after which an upstream is excluded and probed. */
     val connectFailuresToExclude: Int = 3,
+    /** Whether control replicas send the platform's list, which the entry then reads itself only without them. */
+    val listFromControl: Boolean = false,
     val scheduling: SchedulingPolicy = SchedulingPolicy(),
     val routing: RoutingPolicy = RoutingPolicy(),
 )
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
@@ -73,6 +73,11 @@
         val recipient: String? = null,
     ) : EntryEffect
 
+    /** Read the platform's list regularly from now on, or no longer. */
+    data class PollUpstreamList(
+        val enabled: Boolean,
+    ) : EntryEffect
+
     data class ProbeUpstream(
         val upstream: String,
         val address: String,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.core
 
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.ZoneMessage
 
 /** The input of the entry's decisions, sent to the control thread by traffic threads and links. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -19,7 +19,7 @@
         is EntryEvent.LoadReported -> loadReported(event.upstream, event.report)
         is EntryEvent.CacheChanged -> cacheChanged(event.upstream, event.change)
         is EntryEvent.MembershipReported -> membershipReported(event.live, event.leaving)
-        is EntryEvent.UpstreamsListed -> upstreamsListed(event.upstreams)
+        is EntryEvent.UpstreamsListed -> upstreamsListed(event.upstreams, now)
         is EntryEvent.UpstreamAnnouncedLeaving -> leavingAnnounced(event.upstream, event.address)
         is EntryEvent.ProbeAnswered ->
             if (asksAboutCrash(event.upstream)) {
@@ -49,6 +49,7 @@
         is ControlToEntry.ConfigurationUpdate -> stage(message.version, message.configuration, message.confirmed)
         is ControlToEntry.ConfigurationChange -> stageChange(message.delta, message.confirmed)
         is ControlToEntry.ConfigurationConfirmed -> configurationConfirmed(message)
+        is ControlToEntry.UpstreamList -> upstreamListReceived(message)
         is ControlToEntry.ClaimAnswer -> claimAnswered(message)
         is ControlToEntry.OutcomeRecorded -> outcomeRecorded(message.claimNumber)
         is ControlToEntry.ClaimAbandoned -> claimAbandoned(message.attemptIdentifier)
@@ -74,6 +75,7 @@
     state = state.copy(controlLink = ControlLink(open = true, number = state.controlLink.number + 1))
     sendHello()
     requestConfirmation()
+    requestUpstreamList()
     resendClaims()
     reportConvictionsAgain()
     repeatRefutations()
@@ -88,6 +90,7 @@
     attemptsTick()
     requestsTick()
     membershipTick()
+    upstreamListTick()
     suspectsTick()
     sendStatus()
     measureQueues()
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
@@ -17,6 +17,11 @@
     UPSTREAM_RETURNED(1511, Level.INFO, "an upstream answered a probe and is used again"),
     UPSTREAM_LEAVING(1512, Level.INFO, "an upstream is leaving and gets no new work"),
     UPSTREAM_HELD_OFF(1513, Level.INFO, "an upstream asked for no requests for a time and gets none"),
+    LIST_READ_BY_ENTRY(
+        1514,
+        Level.INFO,
+        "the entry reads the platform's list itself because control sent none in time",
+    ),
     ENGINE_CRASHED(1520, Level.WARN, "an engine connection was lost with requests in flight"),
     CONTENT_CONVICTED(1521, Level.ERROR, "request content is refused because it crashed engines"),
     CONTENT_LIMITED(1522, Level.ERROR, "this entry refuses request content that ran on three engines that crashed"),
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -1,8 +1,8 @@
 package hawthorncrank.entry.core.internal
 
 import hawthorncrank.entry.core.EntryEffect
-import hawthorncrank.entry.core.ListedUpstream
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
@@ -110,20 +110,6 @@
     record(EntryDecisionEvent.UPSTREAM_EXCLUDED, "upstream" to name, "reason" to "another upstream has its address")
 }
 
-/** Applies the platform's list. Work that runs on an upstream that is no longer listed continues. */
-internal fun Reduction.upstreamsListed(listed: List<ListedUpstream>) {
-    membership { it.copy(listedAt = now) }
-    if (state.membership.live != null && listed == state.membership.listed) return
-    membership { it.copy(listed = listed.toPersistentList()) }
-    upstreamsChanged()
-    val leaving = listed.filter { it.leaving }.map { it.name }
-    membershipReported(listed.map { it.name }.toSet(), leaving.toSet())
-}
-
-/** How long ago the platform's list was last read, in milliseconds. */
-internal val Reduction.listAge: Long?
-    get() = state.membership.listedAt?.let { now - it }
-
 /** Adds the listed upstreams whose service is configured to the upstreams that the configuration itself defines. */
 internal fun Reduction.refreshUpstreams() {
     val configured = state.configuration.configuration
@@ -276,7 +262,7 @@
     it.copy(observed = if (observation.isEmpty) it.observed.remove(name) else it.observed.put(name, observation))
 }
 
-private fun Reduction.membership(change: (MembershipState) -> MembershipState) {
+internal fun Reduction.membership(change: (MembershipState) -> MembershipState) {
     state = state.copy(membership = change(state.membership))
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
@@ -1,6 +1,6 @@
 package hawthorncrank.entry.core.internal
 
-import hawthorncrank.entry.core.ListedUpstream
+import hawthorncrank.protocol.ListedUpstream
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -23,10 +23,21 @@
     val drainRevision: Long = -1,
     val noticedLeaving: PersistentMap<String, Long> = persistentMapOf(),
     val noticesSentAt: Long = 0,
+    val listSource: ListSource = ListSource(),
     val announcedLeaving: PersistentMap<String, LeavingAnnouncement> = persistentMapOf(),
     val observed: PersistentMap<String, Observation> = persistentMapOf(),
 )
 
+/**
+ * Where the platform's list comes from. [revision] is that of the list held, [requestedAt] when control was last asked for
+ * it; [own] is set while this entry reads the list itself.
+ */
+internal data class ListSource(
+    val revision: Long? = null,
+    val requestedAt: Long? = null,
+    val own: Boolean = false,
+)
+
 /**
  * What this entry observed of an upstream. [excluded] is set while it gets no work and is probed, [taken] after another
  * upstream answered in its place, and [held] after it asked for no requests for a time.
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EntryToControl
+import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.TrafficClass
 import hawthorncrank.routing.ChoiceRule
@@ -16,6 +17,7 @@
     listed: List<ListedUpstream> =
         listOf(listedEngine("e1"), listedEngine("e2"), listedService("s1"), listedService("s2")),
     classes: List<TrafficClass> = sampleConfiguration().classes,
+    listFromControl: Boolean = false,
 ) {
     private val settings =
         EntrySettings(
@@ -32,6 +34,7 @@
                     stopTime = 8_000,
                     brokenConnectionIsCrash = false,
                     connectFailuresToExclude = 1,
+                    listFromControl = listFromControl,
                     scheduling = SchedulingPolicy(preemption = false, floor = false),
                     routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
                 ),
--- a/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
@@ -81,6 +81,7 @@
             stopTime = settings.stopTime?.value,
             brokenConnectionIsCrash = false,
             connectFailuresToExclude = 1,
+            listFromControl = true,
             scheduling = SchedulingPolicy(preemption = false, floor = false),
             routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
         )
--- a/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
@@ -1,7 +1,7 @@
 package hawthorncrank.entry
 
-import hawthorncrank.entry.core.ListedUpstream
 import hawthorncrank.entry.core.StatedOutcome
+import hawthorncrank.protocol.ListedUpstream
 import io.netty.handler.codec.http.HttpHeaders
 import reactor.core.publisher.Mono
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
@@ -16,6 +16,7 @@
     private val refusals: RefusalFormat,
     private val applyConfiguration: (ConfigurationView) -> Unit,
     private val setReadiness: (Readiness) -> Unit,
+    private val pollUpstreamList: (Boolean) -> Unit,
     private val closeIdleConnections: () -> Unit,
     private val terminate: () -> Unit,
 ) {
@@ -33,6 +34,7 @@
             is EntryEffect.AbortStream -> activeExchanges.exchange(effect.requestNumber)?.breakStream(effect.reason)
             is EntryEffect.SendToControl -> links.sendToControl(effect.message)
             is EntryEffect.SendToZone -> links.sendToZone(effect.message, effect.recipient)
+            is EntryEffect.PollUpstreamList -> pollUpstreamList(effect.enabled)
             is EntryEffect.ProbeUpstream -> polls.probe(effect.upstream, effect.address)
             is EntryEffect.ConfigurationApplied -> apply(effect)
             is EntryEffect.ReadinessChanged -> ready(Readiness(effect.ready, effect.reason))
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -58,6 +58,7 @@
             callerInterface.refusals,
             ::apply,
             { readiness = it },
+            { listPolls?.enabled = it },
             { connections.closeWhenAnswered() },
             ::finishWhenNoRequestsAreOpen,
         )
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamListPolls.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamListPolls.kt
@@ -10,13 +10,14 @@
 import reactor.core.scheduler.Schedulers
 import java.time.Duration
 
-/** Polls the platform for its list of upstreams. If a poll fails, the last list stays in effect. */
+/** Polls the platform for its list of upstreams while [enabled]. If a poll fails, the last list stays in effect. */
 internal class UpstreamListPolls(
     private val listing: UpstreamListing,
     private val send: (EntryEvent) -> Unit,
     private val log: EventLog,
     private val scheduler: Scheduler = Schedulers.parallel(),
 ) : AutoCloseable {
+    @Volatile var enabled = false
     private var ticks: Disposable? = null
 
     @Volatile private var listed = false
@@ -28,7 +29,7 @@
             Flux
                 .interval(Duration.ZERO, TICK_INTERVAL, scheduler)
                 .onBackpressureDrop()
-                .filter { !listed || it % TICKS_PER_POLL == 0L }
+                .filter { enabled && (!listed || it % TICKS_PER_POLL == 0L) }
                 .concatMap({ ask() }, 1)
                 .subscribe()
     }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -12,13 +12,13 @@
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.core.EntrySettings
 import hawthorncrank.entry.core.EntryState
-import hawthorncrank.entry.core.ListedUpstream
 import hawthorncrank.entry.core.entryReducer
 import hawthorncrank.entry.core.initialEntryState
 import hawthorncrank.protocol.ANONYMOUS_ORGANISATION
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.Destination
+import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.Organisation
 import hawthorncrank.protocol.Repetition
 import hawthorncrank.protocol.RequestRoute
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamListPollsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamListPollsTest.kt
@@ -3,7 +3,7 @@
 import hawthorncrank.common.EventLog
 import hawthorncrank.entry.UpstreamListing
 import hawthorncrank.entry.core.EntryEvent
-import hawthorncrank.entry.core.ListedUpstream
+import hawthorncrank.protocol.ListedUpstream
 import reactor.core.publisher.Mono
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -40,5 +40,24 @@
         assertEquals(10, events.size)
     }
 
-    private fun start(listing: UpstreamListing) = UpstreamListPolls(listing, events::add, log, scheduler).start()
+    /** Otherwise every entry of a large fleet would ask for a list that its control replica sends. */
+    @Test
+    fun `the platform is asked only while polls are enabled`() {
+        val polls = start { Mono.just(upstreams) }
+        scheduler.advance(2_000)
+        polls.enabled = false
+        val before = events.size
+        scheduler.advance(10_000)
+        assertEquals(before, events.size)
+        polls.enabled = true
+        scheduler.advance(1_000)
+        assertEquals(before + 1, events.size)
+    }
+
+    private fun start(listing: UpstreamListing): UpstreamListPolls {
+        val polls = UpstreamListPolls(listing, events::add, log, scheduler)
+        polls.enabled = true
+        polls.start()
+        return polls
+    }
 }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -57,6 +57,18 @@
         val entries: Int = 0,
     ) : ControlToEntry
 
+    /**
+     * Answers [EntryToControl.ListUpstreams] with the platform's list, which the replica read [age] milliseconds before the
+     * question arrived. [upstreams] is null if the entry has this [revision].
+     */
+    @Serializable
+    data class UpstreamList(
+        val question: Long,
+        val revision: Long,
+        val age: Long,
+        val upstreams: List<ListedUpstream>? = null,
+    ) : ControlToEntry
+
     /** All convictions in force; replaces those that the entry received from control before. */
     @Serializable
     data class ConvictionUpdate(
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -74,6 +74,16 @@
         val question: Long,
     ) : EntryToControl
 
+    /**
+     * Asks for the platform's list of upstreams. [question] is the time at which the entry asked; the answer repeats it.
+     * [heldRevision] is the revision of the list that the entry has.
+     */
+    @Serializable
+    data class ListUpstreams(
+        val question: Long,
+        val heldRevision: Long?,
+    ) : EntryToControl
+
     /** Sent every 2 s. */
     @Serializable
     data class EntryStatus(
