Place prompts of middle length on all engines

Cause: with two groups of classes, the checks of the bindery shared the engines of its chats.

Change: classes are sensitive, long or neither. Only sensitive ones have engines kept for them, only long ones are kept off these, and the others have no preference. What an entry sees of others' work counts half, because other entries see it too and turn away as well. The replayed requests now differ in size, as the users' do; with equal sizes the loads were too easy.

Result: PromptLoadTest passes (11 cases).

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -18,7 +18,7 @@
  * engine has more prefill to do than the part itself.
  *
  * The prefill of a long prompt delays the tokens of all other requests on the engine. Some engines of each zone are
- * therefore kept for the classes whose callers count the shortest pauses ([TargetLoad.pauseSensitive]). Their number
+ * therefore kept for the classes whose callers count the shortest pauses ([PromptGroups]). Their number
  * follows the share of these classes in the load.
  */
 internal class PromptDelays(
@@ -29,8 +29,9 @@
 ) {
     private val candidates = state.candidates[work.target]
     private val load = state.loads[work.target] ?: TargetLoad()
-    private val sensitive = load.pauseSensitive(state.classes, now)
-    private val isSensitive = work.className in sensitive
+    private val groups = load.groups(state.classes, now)
+    private val isSensitive = work.className in groups.sensitive
+    private val isLong = work.className in groups.long
     private val target = (state.classes[work.className]?.firstToken?.value ?: DEFAULT_TARGET_MILLISECONDS).toDouble()
     private val shortestTarget: Long =
         state.classes.values
@@ -45,7 +46,7 @@
         val excess = maxOf(upstream.excess.value(now), overdue[name] ?: 0.0)
         return load.speed.millisecondsFor(upstream.pendingPrefillTokens + prefillTokens(name)) +
             state.networkDelays.roundTrip(upstream.distance) +
-            excess +
+            excess * SEEN_BY_OTHERS_TOO +
             upstream.ownAttempts * millisecondsPerRunningRequest(upstream.slots) +
             classPenalty(name)
     }
@@ -63,7 +64,7 @@
     private fun started(
         prefillTokens: Int,
         millisecondsPerRequest: Double,
-    ) = load.started(work.className, work.promptTokens, prefillTokens, sensitive, millisecondsPerRequest, now)
+    ) = load.started(work.className, work.promptTokens, prefillTokens, groups, millisecondsPerRequest, now)
 
     private fun holds(name: String): Boolean {
         if (name == preferred) return true
@@ -74,7 +75,7 @@
     private fun preferredEngine(): String? {
         val part = work.prefixBlocks.getOrNull(maxOf(0, work.prefixBlocks.size - 2)) ?: return null
         val all = candidates?.all.orEmpty()
-        val eligible = all.filter { isSensitive == isForShortPrompts(it) }.ifEmpty { all }
+        val eligible = all.filter(::isFitting).ifEmpty { all }
         val farthest = state.networkDelays.roundTrip(Distance.OTHER_REGION)
         val worthLeavingZone = load.speed.millisecondsFor(work.sharedTokens) > farthest
         val inZone = eligible.filter(::isInZone)
@@ -85,16 +86,17 @@
     private fun isInZone(name: String) = state.upstreams.getValue(name).distance == Distance.ZONE
 
     private fun isForShortPrompts(name: String): Boolean =
-        sensitive.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
+        groups.sensitive.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
 
-    private fun classPenalty(name: String): Double {
-        val forShort = isForShortPrompts(name)
-        return when {
-            sensitive.isEmpty() || isSensitive == forShort -> 0.0
+    /** Whether the engine is one for this class. Prompts that are neither sensitive nor long may go anywhere. */
+    private fun isFitting(name: String): Boolean = if (isForShortPrompts(name)) !isLong else !isSensitive
+
+    private fun classPenalty(name: String): Double =
+        when {
+            groups.sensitive.isEmpty() || isFitting(name) -> 0.0
             isSensitive -> target * PAUSES_PENALTY
             else -> target * CAUSED_PAUSES_PENALTY
         }
-    }
 
     /** An engine whose slots are all in use takes about as much longer for an answer as two of the shortest targets. */
     private fun millisecondsPerRunningRequest(slots: Int): Double = 2.0 * shortestTarget / slots
@@ -119,6 +121,9 @@
         /** The share of its target that a request waits for other engines before it causes pauses in others' answers. */
         const val CAUSED_PAUSES_PENALTY = 1.0
 
+        /** Other entries see the same excess and turn to other engines as well, so it counts half. */
+        const val SEEN_BY_OTHERS_TOO = 0.5
+
         const val ROUNDING_TOLERANCE = 0.01
 
         /** Rendezvous hashing: the highest rank is preferred, and an engine that leaves moves only its own parts. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
@@ -15,21 +15,22 @@
     val shortShare: Double = INITIAL_SHARE,
 ) {
     /**
-     * The classes that are kept apart from long prompts: those whose prompts are shorter than the longest ones and whose
-     * callers count shorter pauses. Empty if all classes of the target are alike. Until enough prompts were seen, the
-     * classes with long pauses are taken for those with long prompts.
+     * Groups the classes of the target. Those with the shortest pauses are kept apart unless their prompts are as long as
+     * the longest. Until enough prompts were seen, the classes with long pauses are taken for those with long prompts.
      */
-    fun pauseSensitive(
+    fun groups(
         configured: Map<String, TrafficClass>,
         now: Long,
-    ): Set<String> {
+    ): PromptGroups {
         val known = requests(now) >= ENOUGH_REQUESTS
         val considered = configured.values.filter { !known || requests(it.name, now) >= LEAST_REQUESTS }
         val size: (TrafficClass) -> Double = { if (known) averagePrompt(it, now) else it.pause.toDouble() }
-        val longest = considered.maxOfOrNull(size) ?: return emptySet()
+        val longest = considered.maxOfOrNull(size) ?: return PromptGroups.NONE
         val (long, short) = considered.partition { size(it) > longest * LONG }
-        val shortestOfLong = long.minOf { it.pause }
-        return short.filter { it.pause < shortestOfLong }.mapTo(HashSet()) { it.name }
+        val shortestPause = considered.minOf { it.pause }
+        val sensitive = short.filter { it.pause < shortestPause * SIMILAR_PAUSES }
+        if (sensitive.isEmpty()) return PromptGroups.NONE
+        return PromptGroups(sensitive.mapTo(HashSet()) { it.name }, long.mapTo(HashSet()) { it.name })
     }
 
     /** Counts a started attempt with [prefillTokens] of its [promptTokens] to prefill, and lets the share follow the load with some hysteresis. */
@@ -37,7 +38,7 @@
         className: String,
         promptTokens: Int,
         prefillTokens: Int,
-        sensitive: Set<String>,
+        groups: PromptGroups,
         millisecondsPerRequest: Double,
         now: Long,
     ): TargetLoad {
@@ -50,7 +51,7 @@
                     ),
             )
         if (next.requests(now) < ENOUGH_REQUESTS) return next
-        val wanted = next.wantedShare(sensitive, millisecondsPerRequest, now)
+        val wanted = next.wantedShare(groups.sensitive, millisecondsPerRequest, now)
         return if (abs(wanted - shortShare) < SHARE_STEP) next else next.copy(shortShare = wanted)
     }
 
@@ -90,6 +91,9 @@
         /** Prompts above this share of the longest ones count as long. */
         const val LONG = 0.6
 
+        /** Pauses up to this factor above the shortest count as equally short. */
+        const val SIMILAR_PAUSES = 1.5
+
         /**
          * The engines for short prompts need not hold all of these, because short prompts may also go to the others, where
          * they only have more pauses.
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
@@ -10,6 +10,7 @@
 import hawthorncrank.scheduling.WorkTarget
 import java.util.PriorityQueue
 import java.util.SplittableRandom
+import kotlin.math.exp
 import kotlin.math.ln
 
 /** Replays a load in virtual time on entries that do not see each other's requests. */
@@ -43,7 +44,7 @@
             action()
         }
         return load.kinds.associate { kind ->
-            val ofKind = measured.filter { it.kind == kind }
+            val ofKind = measured.filter { it.kind.name == kind.name }
             kind.name to ofKind.count { it.onTime } / ofKind.size.toDouble()
         }
     }
@@ -68,11 +69,19 @@
         val kindNumber = load.kinds.indexOf(kind).toLong()
         val entry = random.nextInt(routers.size)
         val part = kindNumber * 1_000 + random.nextInt(SHARED_PARTS)
-        val stream = SimulatedStream(number * load.kinds.size + kindNumber, kind, entry, part, now)
+        val drawn = kind.copy(ownTokens = vary(kind.ownTokens), events = vary(kind.events))
+        val stream = SimulatedStream(number * load.kinds.size + kindNumber, drawn, entry, part, now)
         measured += stream
         place(stream)
     }
 
+    /** Sizes differ from request to request: few are several times the average. */
+    private fun vary(mean: Int): Int =
+        (mean * exp(SIZE_DEVIATION * random.nextGaussian() - SIZE_DEVIATION * SIZE_DEVIATION / 2))
+            .coerceIn(mean * SMALLEST, mean * LARGEST)
+            .toInt()
+            .coerceAtLeast(1)
+
     private fun place(stream: SimulatedStream) {
         val work = work(stream)
         val question = RoutingQuestion(work, 1, CapacityKind.SHARED)
@@ -177,5 +186,8 @@
         const val RETRY_INTERVAL = 20.0
         const val PROGRESS_INTERVAL = 250.0
         const val SHARED_PARTS = 12
+        const val SIZE_DEVIATION = 0.7
+        const val SMALLEST = 0.1
+        const val LARGEST = 5.0
     }
 }
