Keep prompts of middle length with short ones where streams bear them

Change: the operator's document says how many tokens an event holds. Middle prompts share the kept engines if an event's tokens, each with a chunk of prefill at the estimated speed, take less than the shortest pause. A new field of a service in the configuration: builds before this one cannot read it, so all replicas and entries are updated before the next configuration.

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -29,8 +29,8 @@
 ) {
     private val candidates = state.candidates[work.target]
     private val load = state.loads[work.target] ?: TargetLoad()
-    private val groups = load.groups(state.classes, now)
-    private val isSensitive = work.className in groups.sensitive
+    private val groups = load.groups(state.classes, state.tokensPerEvent[work.target] ?: 1, now)
+    private val isKept = work.className in groups.kept
     private val isLong = work.className in groups.long
     private val target = (state.classes[work.className]?.firstToken?.value ?: DEFAULT_TARGET_MILLISECONDS).toDouble()
     private val shortestTarget: Long =
@@ -86,15 +86,15 @@
     private fun isInZone(name: String) = state.upstreams.getValue(name).distance == Distance.ZONE
 
     private fun isForShortPrompts(name: String): Boolean =
-        groups.sensitive.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
+        groups.kept.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
 
-    /** Whether the engine is one for this class. Prompts that are neither sensitive nor long may go anywhere. */
-    private fun isFitting(name: String): Boolean = if (isForShortPrompts(name)) !isLong else !isSensitive
+    /** Whether the engine is one for this class. Prompts that are neither kept apart nor long may go anywhere. */
+    private fun isFitting(name: String): Boolean = if (isForShortPrompts(name)) !isLong else !isKept
 
     private fun classPenalty(name: String): Double =
         when {
-            groups.sensitive.isEmpty() || isFitting(name) -> 0.0
-            isSensitive -> target * PAUSES_PENALTY
+            groups.kept.isEmpty() || isFitting(name) -> 0.0
+            isKept -> target * PAUSES_PENALTY
             else -> target * CAUSED_PAUSES_PENALTY
         }
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptGroups.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptGroups.kt
@@ -1,11 +1,11 @@
 package hawthorncrank.routing.internal
 
 /**
- * The classes of a target by what they cost each other: callers of [sensitive] ones count the shortest pauses, and prompts
- * of [long] ones cause the longest. The others are between. Without [sensitive] classes no engines are kept for them.
+ * The classes of a target by what they cost each other. Engines are kept for the [kept] ones, whose callers count the
+ * shortest pauses or whose prompts these bear; prompts of [long] ones cause the longest pauses. The others are between.
  */
 internal class PromptGroups(
-    val sensitive: Set<String>,
+    val kept: Set<String>,
     val long: Set<String>,
 ) {
     companion object {
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -41,6 +41,7 @@
     val attempts: PersistentMap<Long, RunningAttempt> = persistentHashMapOf(),
     val prefixes: PrefixIndex = PrefixIndex(),
     val medians: PersistentMap<WorkTarget, PeerMedian> = persistentHashMapOf(),
+    val tokensPerEvent: PersistentMap<WorkTarget, Int> = persistentHashMapOf(),
     val loads: PersistentMap<WorkTarget, TargetLoad> = persistentHashMapOf(),
     val networkDelays: NetworkDelays = NetworkDelays(),
     val crossRegionBytes: PersistentMap<String, Long> = persistentHashMapOf(),
@@ -59,6 +60,10 @@
             upstreams = states.toPersistentHashMap(),
             classes = configuration.classes.associateBy { it.name }.toPersistentHashMap(),
             medians = persistentHashMapOf(),
+            tokensPerEvent =
+                configuration.routeServices
+                    .associate<_, WorkTarget, _> { WorkTarget.Model(it.name) to it.tokensPerEvent }
+                    .toPersistentHashMap(),
         ).withCandidates()
     }
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
@@ -16,10 +16,12 @@
 ) {
     /**
      * Groups the classes of the target. Those with the shortest pauses are kept apart unless their prompts are as long as
-     * the longest. Until enough prompts were seen, the classes with long pauses are taken for those with long prompts.
+     * the longest, together with prompts of middle length if their pauses bear these. Until enough prompts were seen, the
+     * classes with long pauses are taken for those with long prompts.
      */
     fun groups(
         configured: Map<String, TrafficClass>,
+        tokensPerEvent: Int,
         now: Long,
     ): PromptGroups {
         val known = requests(now) >= ENOUGH_REQUESTS
@@ -30,9 +32,19 @@
         val shortestPause = considered.minOf { it.pause }
         val sensitive = short.filter { it.pause < shortestPause * SIMILAR_PAUSES }
         if (sensitive.isEmpty()) return PromptGroups.NONE
-        return PromptGroups(sensitive.mapTo(HashSet()) { it.name }, long.mapTo(HashSet()) { it.name })
+        val kept = if (bearsPrefill(shortestPause, tokensPerEvent)) short else sensitive
+        return PromptGroups(kept.mapTo(HashSet()) { it.name }, long.mapTo(HashSet()) { it.name })
     }
 
+    /**
+     * Whether streams stay within their pauses while their engine prefills prompts in every step. The speed is a lower bound,
+     * which leaves time for the tokens themselves and for chunks that take longer late in a prompt.
+     */
+    private fun bearsPrefill(
+        pause: Long,
+        tokensPerEvent: Int,
+    ): Boolean = tokensPerEvent * speed.millisecondsFor(CHUNK_TOKENS) < pause
+
     /** Counts a started attempt with [prefillTokens] of its [promptTokens] to prefill, and lets the share follow the load with some hysteresis. */
     fun started(
         className: String,
@@ -51,18 +63,18 @@
                     ),
             )
         if (next.requests(now) < ENOUGH_REQUESTS) return next
-        val wanted = next.wantedShare(groups.sensitive, millisecondsPerRequest, now)
+        val wanted = next.wantedShare(groups.kept, millisecondsPerRequest, now)
         return if (abs(wanted - shortShare) < SHARE_STEP) next else next.copy(shortShare = wanted)
     }
 
     private fun wantedShare(
-        sensitive: Set<String>,
+        kept: Set<String>,
         millisecondsPerRequest: Double,
         now: Long,
     ): Double {
         val work = classes.mapValues { (_, load) -> load.work(speed, millisecondsPerRequest, now) }
-        val ofSensitive = work.filterKeys { it in sensitive }.values.sum()
-        return (ofSensitive / work.values.sum().coerceAtLeast(1.0) * RESERVED).coerceAtMost(LARGEST_SHARE)
+        val ofKept = work.filterKeys { it in kept }.values.sum()
+        return (ofKept / work.values.sum().coerceAtLeast(1.0) * RESERVED).coerceAtMost(LARGEST_SHARE)
     }
 
     private fun requests(now: Long): Double = classes.values.sumOf { it.requests.value(now) }
@@ -91,6 +103,9 @@
         /** Prompts above this share of the longest ones count as long. */
         const val LONG = 0.6
 
+        /** How many prompt tokens engines usually prefill between two tokens of running streams. */
+        const val CHUNK_TOKENS = 2_048
+
         /** Pauses up to this factor above the shortest count as equally short. */
         const val SIMILAR_PAUSES = 1.5
 
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.common.Milliseconds
 import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.TrafficClass
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
@@ -150,6 +151,7 @@
                         TrafficClass(it.name, 1, Milliseconds(it.firstEvent), Milliseconds(it.pause))
                     },
                 upstreams = upstreams,
+                routeServices = listOf(RouteService("model", servesModels = true, load.engines.tokensPerEvent)),
             ),
             RouterLocation("zone-${zoneOf(entry)}", "zone-${zoneOf(entry)}"),
             load.entriesPerZone,
