Decide on sending once the connection to the upstream is open

Change: the look comes right before the first byte, and if more than 100 ms have passed since the decision, the event loop reads once more before it.

Result: UpstreamClientTest and LateSendingTest pass.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import org.reactivestreams.Subscription
 import reactor.core.publisher.BaseSubscriber
+import reactor.core.publisher.Mono
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 
@@ -66,8 +67,16 @@
         request(count)
     }
 
-    /** See [UpstreamClient.exchange]. Between the decision and this moment the process may have lacked processor time. */
-    fun beginSending(): Long? {
+    /** Between the decision on an attempt and its sending, the process may have lacked processor time. */
+    val gate = SendingGate(Mono.defer(::settled), ::beginSending)
+
+    /** If the process is behind, lets the event loop read once more, so that it sees whether the caller has left. */
+    private fun settled(): Mono<Void> {
+        if (now() - decidedAt < BEHIND_MILLISECONDS) return Mono.empty()
+        return Mono.create { sink -> loop.schedule({ sink.success() }, 1, TimeUnit.MILLISECONDS) }
+    }
+
+    private fun beginSending(): Long? {
         if (owner.callerGone) throw SendingPointless(AttemptEnd.Cancelled(0))
         val timeLeft = effect.deadlineMilliseconds?.let { it - (now() - decidedAt) }
         if (timeLeft != null && timeLeft <= 0) throw SendingPointless(AttemptEnd.Expired)
@@ -266,6 +275,7 @@
     }
 
     private companion object {
+        const val BEHIND_MILLISECONDS = 100L
         const val PROGRESS_INTERVAL_MILLISECONDS = 250L
         const val COMPLETE_ANSWER_LIMIT_BYTES = 16 shl 20
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -225,7 +225,7 @@
         }
         val body = request.body(attempt.effect.priority, resume)
         activeExchanges.client
-            .exchange(attempt.effect, request, AttemptContent(body, lastEventIdentifier), attempt::beginSending)
+            .exchange(attempt.effect, request, AttemptContent(body, lastEventIdentifier), attempt.gate)
             .publishOn(Schedulers.fromExecutor(loop), PREFETCHED_SIGNALS)
             .subscribe(attempt)
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -33,15 +33,11 @@
  * may belong to an earlier request too.
  */
 internal fun interface UpstreamClient {
-    /**
-     * [begin] is called before the first byte of the request leaves this process. It returns the milliseconds that are left
-     * to the caller's deadline, null if it has none, and throws [SendingPointless] if nothing may be sent any more.
-     */
     fun exchange(
         attempt: EntryEffect.StartAttempt,
         request: OutgoingRequest,
         content: AttemptContent,
-        begin: () -> Long?,
+        gate: SendingGate,
     ): Flux<UpstreamSignal>
 }
 
@@ -59,7 +55,7 @@
     val pool = connections("upstream", IDLE_LIMIT)
     val nonIdempotentPool = connections("upstream-fresh", nonIdempotentIdleLimit)
     val unpooled = ConnectionProvider.newConnection()
-    return UpstreamClient { attempt, request, content, begin ->
+    return UpstreamClient { attempt, request, content, gate ->
         val connections =
             when {
                 attempt.newConnection -> unpooled
@@ -72,15 +68,19 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
             .doOnChannelInit { _, channel, _ ->
                 channel.pipeline().replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, UpstreamCodec())
-            }.doOnRequest { prepared, _ ->
-                val timeLeft = attempt.copy(deadlineMilliseconds = begin())
-                setAttemptHeaders(prepared.requestHeaders(), timeLeft, request, content)
             }.doOnResponse { response, connection -> closeIfMismatched(response, connection, request.format) }
             .headers { headers -> setHeaders(headers, request, content) }
             .request(request.method)
             .uri("http://${attempt.address}${request.uri}")
-            .send(Mono.just(Unpooled.wrappedBuffer(content.body)))
-            .response { response, answer ->
+            .send { prepared, outbound ->
+                gate.settled.then(
+                    Mono.defer {
+                        val timeLeft = attempt.copy(deadlineMilliseconds = gate.begin())
+                        setAttemptHeaders(prepared.requestHeaders(), timeLeft, request, content)
+                        outbound.send(Mono.just(Unpooled.wrappedBuffer(content.body))).then()
+                    },
+                )
+            }.response { response, answer ->
                 val head = UpstreamSignal.Head(response.status().code(), response.responseHeaders())
                 Flux.concat(Mono.just(head), answer.asByteArray().map { UpstreamSignal.Chunk(it) })
             }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/LateSendingTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/LateSendingTest.kt
@@ -77,10 +77,10 @@
 
     /** Records whether each attempt could be sent after [delay] milliseconds, and never gets an answer. */
     private fun client(delay: Long) =
-        UpstreamClient { _, _, _, begin ->
+        UpstreamClient { _, _, _, gate ->
             Flux.defer {
                 advanced.addAndGet(delay)
-                val result = runCatching(begin).also { begun += it }
+                val result = runCatching(gate.begin).also { begun += it }
                 result.fold({ Flux.never() }, { Flux.error(it) })
             }
         }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UpstreamClientTest.kt
@@ -61,10 +61,26 @@
         upstream.close()
     }
 
+    /** The process may see only then that the caller has left. */
+    @Test
+    fun `an attempt is decided on after the process has read what arrived`() {
+        var left = false
+        val pointless = SendingPointless(AttemptEnd.Cancelled(0))
+        val reading = Mono.fromRunnable<Void> { left = true }
+        val failure =
+            runCatching {
+                call(upstreamClient(), idempotent = true, settled = reading) { if (left) throw pointless else 900 }
+            }.exceptionOrNull()
+        assertSame(pointless, failure)
+        assertEquals(0, upstream.headers.size)
+        upstream.close()
+    }
+
     private fun call(
         client: UpstreamClient,
         idempotent: Boolean,
         newConnection: Boolean = false,
+        settled: Mono<Void> = Mono.empty(),
         begin: () -> Long? = { 900 },
     ) {
         val request =
@@ -89,7 +105,14 @@
                 resume = null,
                 newConnection = newConnection,
             )
-        client.exchange(attempt, request, AttemptContent(ByteArray(0), null), begin).collectList().block()
+        client
+            .exchange(
+                attempt,
+                request,
+                AttemptContent(ByteArray(0), null),
+                SendingGate(settled, begin),
+            ).collectList()
+            .block()
         assertEquals("900", upstream.headers.last()["hawthorncrank-deadline-milliseconds"])
     }
 
