Group prompts by classes with pauses until enough were seen

Cause: an entry that sees few requests grouped the classes by the configuration. There, calls of plain services, which have no pauses, counted as the longest prompts and drafts as short ones. The share of kept engines followed single requests.

Change: before enough prompts were seen, only classes with pauses are grouped. The load counts over a longer time, and at most two fifths of the engines are kept. Sensitive prompts leave them later, middle ones that share them sooner.

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/DecayingSum.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/DecayingSum.kt
@@ -16,6 +16,6 @@
 
     private companion object {
         /** A burst of one class is seen within seconds, and single requests do not matter. */
-        const val HALF_LIFE_MILLISECONDS = 4_000.0
+        const val HALF_LIFE_MILLISECONDS = 8_000.0
     }
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -94,7 +94,8 @@
     private fun classPenalty(name: String): Double =
         when {
             groups.kept.isEmpty() || isFitting(name) -> 0.0
-            isKept -> target * PAUSES_PENALTY
+            work.className in groups.sensitive -> target * PAUSES_PENALTY
+            isKept -> target * FEW_PAUSES_PENALTY
             else -> target * CAUSED_PAUSES_PENALTY
         }
 
@@ -116,13 +117,16 @@
         const val DEFAULT_TARGET_MILLISECONDS = 500L
 
         /** The share of its target that a request accepts to avoid pauses in its own answer. */
-        const val PAUSES_PENALTY = 0.25
+        const val PAUSES_PENALTY = 0.5
+
+        /** The same for a request whose callers bear longer pauses. */
+        const val FEW_PAUSES_PENALTY = 0.08
 
         /** The share of its target that a request waits for other engines before it causes pauses in others' answers. */
         const val CAUSED_PAUSES_PENALTY = 1.0
 
-        /** Other entries see the same excess and turn to other engines as well, so it counts half. */
-        const val SEEN_BY_OTHERS_TOO = 0.5
+        /** Other entries see the same excess and turn to other engines as well, so a part of it counts. */
+        const val SEEN_BY_OTHERS_TOO = 0.3
 
         const val ROUNDING_TOLERANCE = 0.01
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
@@ -25,7 +25,10 @@
         now: Long,
     ): PromptGroups {
         val known = requests(now) >= ENOUGH_REQUESTS
-        val considered = configured.values.filter { !known || requests(it.name, now) >= LEAST_REQUESTS }
+        val considered =
+            configured.values.filter {
+                if (known) requests(it.name, now) >= LEAST_REQUESTS else it.betweenTokens != null
+            }
         val size: (TrafficClass) -> Double = { if (known) averagePrompt(it, now) else it.pause.toDouble() }
         val longest = considered.maxOfOrNull(size) ?: return PromptGroups.NONE
         val (long, short) = considered.partition { size(it) > longest * LONG }
@@ -33,7 +36,7 @@
         val sensitive = short.filter { it.pause < shortestPause * SIMILAR_PAUSES }
         if (sensitive.isEmpty()) return PromptGroups.NONE
         val kept = if (bearsPrefill(shortestPause, tokensPerEvent)) short else sensitive
-        return PromptGroups(kept.mapTo(HashSet()) { it.name }, long.mapTo(HashSet()) { it.name })
+        return PromptGroups(namesOf(sensitive), namesOf(kept), namesOf(long))
     }
 
     /**
@@ -84,6 +87,8 @@
         now: Long,
     ): Double = classes[className]?.requests?.value(now) ?: 0.0
 
+    private fun namesOf(group: List<TrafficClass>): Set<String> = group.mapTo(HashSet()) { it.name }
+
     private fun averagePrompt(
         trafficClass: TrafficClass,
         now: Long,
@@ -94,11 +99,11 @@
 
     private companion object {
         /** With fewer recent requests the observed mix says little, and all configured classes are considered. */
-        const val ENOUGH_REQUESTS = 10.0
+        const val ENOUGH_REQUESTS = 5.0
         const val LEAST_REQUESTS = 0.2
         const val INITIAL_SHARE = 1.0 / 3
-        const val SHARE_STEP = 0.08
-        const val LARGEST_SHARE = 0.5
+        const val SHARE_STEP = 0.1
+        const val LARGEST_SHARE = 0.4
 
         /** Prompts above this share of the longest ones count as long. */
         const val LONG = 0.6
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
@@ -149,7 +149,7 @@
                 classes =
                     load.kinds.map {
                         TrafficClass(it.name, 1, Milliseconds(it.firstEvent), Milliseconds(it.pause))
-                    },
+                    } + TrafficClass("calls of plain services", 1, Milliseconds(200)),
                 upstreams = upstreams,
                 routeServices = listOf(RouteService("model", servesModels = true, load.engines.tokensPerEvent)),
             ),
