--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -18,8 +18,8 @@
  * engine has more prefill to do than the part itself.
  *
  * The prefill of a long prompt delays the tokens of all other requests on the engine. Some engines of each zone are
- * therefore kept for the classes whose callers count the shortest pauses ([PromptGroups]). Their number
- * follows the share of these classes in the load.
+ * therefore kept for the classes whose callers count the shortest pauses ([PromptGroups]). Their number follows the share
+ * of these classes in the load.
  */
 internal class PromptDelays(
     private val state: RouterState,
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -56,8 +56,10 @@
                 upstreams[name]?.copy(settings = settings, distance = distance(settings))
                     ?: UpstreamState(settings, distance(settings))
             }
+        val classNames = configuration.classes.mapTo(HashSet()) { it.name }
         return copy(
             upstreams = states.toPersistentHashMap(),
+            loads = loads.mapValues { (_, load) -> load.retain(classNames) }.toPersistentHashMap(),
             classes = configuration.classes.associateBy { it.name }.toPersistentHashMap(),
             medians = persistentHashMapOf(),
             tokensPerEvent =
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
@@ -48,7 +48,10 @@
         tokensPerEvent: Int,
     ): Boolean = tokensPerEvent * speed.millisecondsFor(CHUNK_TOKENS) < pause
 
-    /** Counts a started attempt with [prefillTokens] of its [promptTokens] to prefill, and lets the share follow the load with some hysteresis. */
+    /**
+     * Counts a started attempt with [prefillTokens] of its [promptTokens] to prefill, and lets the share follow the load with
+     * some hysteresis.
+     */
     fun started(
         className: String,
         promptTokens: Int,
@@ -57,14 +60,8 @@
         millisecondsPerRequest: Double,
         now: Long,
     ): TargetLoad {
-        val next =
-            copy(
-                classes =
-                    classes.put(
-                        className,
-                        (classes[className] ?: ClassLoad()).started(promptTokens, prefillTokens, now),
-                    ),
-            )
+        val ofClass = (classes[className] ?: ClassLoad()).started(promptTokens, prefillTokens, now)
+        val next = copy(classes = classes.put(className, ofClass))
         if (next.requests(now) < ENOUGH_REQUESTS) return next
         val wanted = next.wantedShare(groups.kept, millisecondsPerRequest, now)
         return if (abs(wanted - shortShare) < SHARE_STEP) next else next.copy(shortShare = wanted)
@@ -77,9 +74,13 @@
     ): Double {
         val work = classes.mapValues { (_, load) -> load.work(speed, millisecondsPerRequest, now) }
         val ofKept = work.filterKeys { it in kept }.values.sum()
-        return (ofKept / work.values.sum().coerceAtLeast(1.0) * RESERVED).coerceAtMost(LARGEST_SHARE)
+        return (ofKept / work.values.sum().coerceAtLeast(1.0)).coerceAtMost(LARGEST_SHARE)
     }
 
+    /** Forgets classes that are no longer configured. */
+    fun retain(configured: Set<String>): TargetLoad =
+        copy(classes = (classes.keys - configured).fold(classes) { map, name -> map.remove(name) })
+
     private fun requests(now: Long): Double = classes.values.sumOf { it.requests.value(now) }
 
     private fun requests(
@@ -103,6 +104,8 @@
         const val LEAST_REQUESTS = 0.2
         const val INITIAL_SHARE = 1.0 / 3
         const val SHARE_STEP = 0.1
+
+        /** Short prompts may also go to the other engines, where they only have more pauses; long ones have no others. */
         const val LARGEST_SHARE = 0.4
 
         /** Prompts above this share of the longest ones count as long. */
@@ -113,11 +116,5 @@
 
         /** Pauses up to this factor above the shortest count as equally short. */
         const val SIMILAR_PAUSES = 1.5
-
-        /**
-         * The engines for short prompts need not hold all of these, because short prompts may also go to the others, where
-         * they only have more pauses.
-         */
-        const val RESERVED = 1.0
     }
 }
