Check the platform's address of a replica, and publish that a request was sent

Cause: a connection to an upstream may belong to another event loop than the attempt, so what it notes before sending has to be visible there; the flag had lost this with the look before sending. The new setting of a replica was not checked.

Result: ControlStartTest has a case for the setting.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -127,7 +127,8 @@
 private fun ControlSettings.firstMalformedAddress(file: String): SettingsFailure? =
     (
         listOf("link_address" to linkAddress, "http_address" to httpAddress) +
-            replicas.map { "replicas.address" to it.address }
+            replicas.map { "replicas.address" to it.address } +
+            listOfNotNull(platformAddress?.let { "platform_address" to it })
     ).firstOrNull { (_, address) -> !isListenAddress(address) }
         ?.let { (key, address) ->
             InvalidValue(
--- a/control/src/test/kotlin/hawthorncrank/control/ControlStartTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/ControlStartTest.kt
@@ -42,6 +42,7 @@
                 TOML.replaceFirst("name = \"c1\"", "name = \"c9\"") to "replicas",
                 TOML.replace("fleet_key = \"key\"", "fleet_key = \"\"") to "fleet_key",
                 TOML.replace("pbkdf2", "md5") to "operators.key_hash",
+                "platform_address = \"platform\"\n$TOML" to "platform_address",
             )
         mistakes.forEach { (text, key) ->
             val decoded = decode(text)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -185,15 +185,14 @@
     }
 }
 
-/** Tells the zone, or one neighbour, which upstreams are marked as leaving by the platform or drained by operators. */
+/** Tells the zone, or one neighbour, which upstreams the platform, operators or they themselves mark as leaving. */
 internal fun Reduction.sendLeavingNotices(recipient: String? = null) {
-    (state.membership.leaving + state.membership.drained + state.membership.announcedLeaving.keys)
-        .filter {
-            upstream(it) !=
-                null
-        }.forEach {
-            emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, it), recipient))
-        }
+    val membership = state.membership
+    val marked = membership.leaving + membership.drained + membership.announcedLeaving.keys
+    for (name in marked) {
+        if (upstream(name) == null) continue
+        emit(EntryEffect.SendToZone(ZoneMessage.LeavingNotice(settings.name, name), recipient))
+    }
 }
 
 /**
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -42,7 +42,9 @@
         private set
 
     private val decidedAt = now()
-    private var sent = false
+
+    // Written on the event loop of the connection to the upstream.
+    @Volatile private var sent = false
 
     val number: Long get() = effect.attemptNumber
     var resumeToken: String? = null
