--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
@@ -29,9 +29,9 @@
 
 /** The age of the list counts from the question, because the answer may have been delayed on its way. */
 internal fun Reduction.upstreamListReceived(message: ControlToEntry.UpstreamList) {
+    if (message.age < 0 || message.question > now) return
     val readAt = message.question - message.age
-    val known = state.membership.listedAt
-    if (message.age < 0 || message.question > now || known != null && readAt < known) return
+    if (readAt < (state.membership.listedAt ?: Long.MIN_VALUE)) return
     val upstreams = message.upstreams
     when {
         upstreams != null -> upstreamsListed(upstreams, readAt)
