--- a/common/src/main/kotlin/hawthorncrank/common/SuspendAwareClock.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/SuspendAwareClock.kt
@@ -13,8 +13,8 @@
 }
 
 /**
- * Creates a clock whose [MillisecondClock.now] includes the time during which the machine was suspended, for processes all
- * of whose waits are leases.
+ * Creates a clock whose [MillisecondClock.now] includes the time during which the machine was suspended, for processes whose
+ * waits may all end early.
  */
 fun suspendAwareClock(base: MillisecondClock = systemClock()): MillisecondClock {
     val detecting = suspensionDetectingClock(base)
