--- a/emulator/src/main/kotlin/hawthorncrank/emulator/internal/StandInServer.kt
+++ b/emulator/src/main/kotlin/hawthorncrank/emulator/internal/StandInServer.kt
@@ -1,14 +1,11 @@
 package hawthorncrank.emulator.internal
 
 import io.netty.channel.Channel
-import io.netty.channel.ChannelException
-import io.netty.channel.ChannelOption
 import org.reactivestreams.Publisher
 import reactor.netty.DisposableServer
 import reactor.netty.http.server.HttpServer
 import reactor.netty.http.server.HttpServerRequest
 import reactor.netty.http.server.HttpServerResponse
-import java.nio.channels.ClosedChannelException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -41,17 +38,7 @@
     }
 
     /** Closes every connection with a reset, as a killed process does. */
-    fun dropConnections() = connections.keys.forEach(::reset)
-
-    private fun reset(channel: Channel) {
-        try {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0)
-        } catch (failure: ChannelException) {
-            // A client may close its connection at the same moment.
-            if (failure.cause !is ClosedChannelException) throw failure
-        }
-        channel.close()
-    }
+    fun dropConnections() = connections.keys.forEach(::resetConnection)
 
     fun stopListening() {
         server.disposeNow()
