Tell long prompts from short ones by the single prompt, over all tiers

Classes were also counted by tier, and one long request of a rare tier moved the limit for all.

Change: a prompt is long by its own tokens, compared with the longest average among classes of the same targets, whatever their tier. Short prompts of classes with long ones prefer the other engines and wait little for them. tokens_per_event is no longer needed and leaves the protocol; it had not been released.

PromptLoadTest now has rare tiers and shared parts of different sizes, and three times the lights' load.

--- a/protocol/src/main/kotlin/hawthorncrank/protocol/RequestRoute.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/RequestRoute.kt
@@ -52,9 +52,6 @@
     val name: String,
     @SerialName("serves_models")
     val servesModels: Boolean = false,
-    /** How many tokens an event of a stream holds. */
-    @SerialName("tokens_per_event")
-    val tokensPerEvent: Int = 1,
 )
 
 /** The name of the traffic class of a service level in a tier. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/ClassLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/ClassLoad.kt
@@ -1,6 +1,6 @@
 package hawthorncrank.routing.internal
 
-/** The recent started attempts of a class, their prompt tokens and those that engines had to prefill for them. */
+/** The recent attempts of the classes with the same targets, their prompt tokens and those that engines had to prefill. */
 internal data class ClassLoad(
     val requests: DecayingSum = DecayingSum(),
     private val promptTokens: DecayingSum = DecayingSum(),
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/DecayingSum.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/DecayingSum.kt
@@ -1,13 +1,11 @@
 package hawthorncrank.routing.internal
 
-import kotlin.math.pow
-
 /** A sum of observations that count half after [HALF_LIFE_MILLISECONDS], a quarter after twice that, and so on. */
 internal data class DecayingSum(
     private val sum: Double = 0.0,
     private val at: Long = 0,
 ) {
-    fun value(now: Long): Double = sum * 0.5.pow((now - at).coerceAtLeast(0) / HALF_LIFE_MILLISECONDS)
+    fun value(now: Long): Double = sum * remainingShare(now - at, HALF_LIFE_MILLISECONDS)
 
     fun plus(
         value: Double,
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/ExcessDelay.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/ExcessDelay.kt
@@ -1,7 +1,5 @@
 package hawthorncrank.routing.internal
 
-import kotlin.math.pow
-
 /**
  * By how many milliseconds first tokens from one engine came later than this entry's own work there explains. The cause is
  * work of other entries, which this entry does not see, or a slow engine. The value is halved every second without a new
@@ -11,7 +9,7 @@
     private val milliseconds: Double = 0.0,
     private val at: Long = 0,
 ) {
-    fun value(now: Long): Double = milliseconds * 0.5.pow((now - at).coerceAtLeast(0) / HALF_LIFE_MILLISECONDS)
+    fun value(now: Long): Double = milliseconds * remainingShare(now - at, HALF_LIFE_MILLISECONDS)
 
     fun observe(
         observed: Double,
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -18,8 +18,8 @@
  * engine has more prefill to do than the part itself.
  *
  * The prefill of a long prompt delays the tokens of all other requests on the engine. Some engines of each zone are
- * therefore kept for the classes whose callers count the shortest pauses ([PromptGroups]). Their number follows the share
- * of these classes in the load.
+ * therefore kept for short prompts of classes that usually have such ([PromptGroups]). Their number follows the share of
+ * these classes in the load.
  */
 internal class PromptDelays(
     private val state: RouterState,
@@ -29,14 +29,15 @@
 ) {
     private val candidates = state.candidates[work.target]
     private val load = state.loads[work.target] ?: TargetLoad()
-    private val groups = load.groups(state.classes, state.tokensPerEvent[work.target] ?: 1, now)
-    private val isKept = work.className in groups.kept
-    private val isLong = work.className in groups.long
-    private val target = (state.classes[work.className]?.firstToken?.value ?: DEFAULT_TARGET_MILLISECONDS).toDouble()
+    private val streamTargets = StreamTargets.of(state.classes[work.className])
+    private val groups = load.groups(state.streamTargets, now)
+    private val isLong = groups.isLong(streamTargets, work.promptTokens)
+    private val isKept = !isLong && streamTargets in groups.kept
+    private val target = (streamTargets.firstToken ?: DEFAULT_TARGET_MILLISECONDS).toDouble()
     private val shortestTarget: Long =
-        state.classes.values
+        state.streamTargets
             .filter { it.betweenTokens != null }
-            .mapNotNull { it.firstToken?.value }
+            .mapNotNull { it.firstToken }
             .minOrNull() ?: DEFAULT_TARGET_MILLISECONDS
     private val preferred = preferredEngine()
     private val overdue: Map<String, Double> by lazy(LazyThreadSafetyMode.NONE, ::overdueAttempts)
@@ -64,7 +65,7 @@
     private fun started(
         prefillTokens: Int,
         millisecondsPerRequest: Double,
-    ) = load.started(work.className, work.promptTokens, prefillTokens, groups, millisecondsPerRequest, now)
+    ) = load.started(streamTargets, work.promptTokens, prefillTokens, groups, millisecondsPerRequest, now)
 
     private fun holds(name: String): Boolean {
         if (name == preferred) return true
@@ -88,15 +89,17 @@
     private fun isForShortPrompts(name: String): Boolean =
         groups.kept.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
 
-    /** Whether the engine is one for this class. Prompts that are neither kept apart nor long may go anywhere. */
-    private fun isFitting(name: String): Boolean = if (isForShortPrompts(name)) !isLong else !isKept
+    /** Whether the engine is one for this prompt. */
+    private fun isFitting(name: String): Boolean =
+        if (isForShortPrompts(name)) !isLong && !groups.isUsuallyLong(streamTargets) else !isKept
 
     private fun classPenalty(name: String): Double =
         when {
             groups.kept.isEmpty() || isFitting(name) -> 0.0
-            work.className in groups.sensitive -> target * PAUSES_PENALTY
-            isKept -> target * FEW_PAUSES_PENALTY
-            else -> target * CAUSED_PAUSES_PENALTY
+            isLong -> target * CAUSED_PAUSES_PENALTY
+            groups.isUsuallyLong(streamTargets) -> target * SHORTER_THAN_USUAL_PENALTY
+            streamTargets in groups.sensitive -> target * PAUSES_PENALTY
+            else -> target * FEW_PAUSES_PENALTY
         }
 
     /** An engine whose slots are all in use takes about as much longer for an answer as two of the shortest targets. */
@@ -122,6 +125,9 @@
         /** The same for a request whose callers bear longer pauses. */
         const val FEW_PAUSES_PENALTY = 0.08
 
+        /** The share of its target that a short prompt of a class with long ones waits for other engines. */
+        const val SHORTER_THAN_USUAL_PENALTY = 0.15
+
         /** The share of its target that a request waits for other engines before it causes pauses in others' answers. */
         const val CAUSED_PAUSES_PENALTY = 1.0
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -16,8 +16,11 @@
 import hawthorncrank.scheduling.QueuedWork
 import hawthorncrank.scheduling.WorkTarget
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.collections.immutable.toPersistentSet
 
 internal fun emptyRouter(
     location: RouterLocation,
@@ -41,7 +44,7 @@
     val attempts: PersistentMap<Long, RunningAttempt> = persistentHashMapOf(),
     val prefixes: PrefixIndex = PrefixIndex(),
     val medians: PersistentMap<WorkTarget, PeerMedian> = persistentHashMapOf(),
-    val tokensPerEvent: PersistentMap<WorkTarget, Int> = persistentHashMapOf(),
+    val streamTargets: PersistentSet<StreamTargets> = persistentSetOf(),
     val loads: PersistentMap<WorkTarget, TargetLoad> = persistentHashMapOf(),
     val networkDelays: NetworkDelays = NetworkDelays(),
     val crossRegionBytes: PersistentMap<String, Long> = persistentHashMapOf(),
@@ -56,16 +59,13 @@
                 upstreams[name]?.copy(settings = settings, distance = distance(settings))
                     ?: UpstreamState(settings, distance(settings))
             }
-        val classNames = configuration.classes.mapTo(HashSet()) { it.name }
+        val targets = configuration.classes.mapTo(HashSet()) { StreamTargets.of(it) }
         return copy(
             upstreams = states.toPersistentHashMap(),
-            loads = loads.mapValues { (_, load) -> load.retain(classNames) }.toPersistentHashMap(),
+            streamTargets = targets.toPersistentSet(),
+            loads = loads.mapValues { (_, load) -> load.retain(targets) }.toPersistentHashMap(),
             classes = configuration.classes.associateBy { it.name }.toPersistentHashMap(),
             medians = persistentHashMapOf(),
-            tokensPerEvent =
-                configuration.routeServices
-                    .associate<_, WorkTarget, _> { WorkTarget.Model(it.name) to it.tokensPerEvent }
-                    .toPersistentHashMap(),
         ).withCandidates()
     }
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
@@ -6,7 +6,6 @@
 import hawthorncrank.scheduling.CapacityKind
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
-import kotlin.math.pow
 
 /**
  * What this entry knows about one upstream. [shared] counts the entry's own attempts on shared capacity by tier, and
@@ -125,7 +124,7 @@
     fun weight(
         now: Long,
         discounting: Boolean,
-    ): Double = if (discounting) 0.5.pow((now - at) / HALF_LIFE_MILLISECONDS) else 1.0
+    ): Double = if (discounting) remainingShare(now - at, HALF_LIFE_MILLISECONDS) else 1.0
 
     private companion object {
         /** Reports arrive about once per second; when two are missing, the last one counts a quarter. */
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
@@ -22,11 +22,17 @@
     val perSecond: Double,
 )
 
-/** The load of a deployment: its engines, its streams and the entries of each zone. */
+/**
+ * The load of a deployment: its engines, its streams and the entries of each zone. Each kind of stream has a second class
+ * with the same targets, to which [rareTierShare] of its streams belong. Shared parts differ in size by
+ * [partSizeDeviation], the standard deviation of their logarithm.
+ */
 internal data class PromptLoad(
     val engines: EngineSheet,
     val kinds: List<StreamKind>,
     val entriesPerZone: Int,
+    val rareTierShare: Double = 0.05,
+    val partSizeDeviation: Double = 0.5,
 ) {
     /** The same load with [factor] times the requests of one class, or of all. */
     fun times(
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
@@ -2,7 +2,6 @@
 
 import hawthorncrank.common.Milliseconds
 import hawthorncrank.protocol.Configuration
-import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.TrafficClass
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.UpstreamKind
@@ -70,15 +69,30 @@
         val kindNumber = load.kinds.indexOf(kind).toLong()
         val entry = random.nextInt(routers.size)
         val part = kindNumber * 1_000 + random.nextInt(SHARED_PARTS)
-        val drawn = kind.copy(ownTokens = vary(kind.ownTokens), events = vary(kind.events))
-        val stream = SimulatedStream(number * load.kinds.size + kindNumber, drawn, entry, part, now)
+        val drawn =
+            kind.copy(
+                sharedTokens = sharedTokens(kind, part),
+                ownTokens = vary(kind.ownTokens),
+                events = vary(kind.events),
+            )
+        val rare = random.nextDouble() < load.rareTierShare
+        val stream = SimulatedStream(number * load.kinds.size + kindNumber, drawn, entry, part, now, rare)
         measured += stream
         place(stream)
     }
 
+    private fun sharedTokens(
+        kind: StreamKind,
+        part: Long,
+    ): Int = vary(kind.sharedTokens, load.partSizeDeviation, SplittableRandom(part))
+
     /** Sizes differ from request to request: few are several times the average. */
-    private fun vary(mean: Int): Int =
-        (mean * exp(SIZE_DEVIATION * random.nextGaussian() - SIZE_DEVIATION * SIZE_DEVIATION / 2))
+    private fun vary(
+        mean: Int,
+        deviation: Double = SIZE_DEVIATION,
+        source: SplittableRandom = random,
+    ): Int =
+        (mean * exp(deviation * source.nextGaussian() - deviation * deviation / 2))
             .coerceIn(mean * SMALLEST, mean * LARGEST)
             .toInt()
             .coerceAtLeast(1)
@@ -147,11 +161,12 @@
         router(
             Configuration(
                 classes =
-                    load.kinds.map {
-                        TrafficClass(it.name, 1, Milliseconds(it.firstEvent), Milliseconds(it.pause))
+                    load.kinds.flatMap { kind ->
+                        listOf(kind.name, rareClass(kind)).map {
+                            TrafficClass(it, 1, Milliseconds(kind.firstEvent), Milliseconds(kind.pause))
+                        }
                     } + TrafficClass("calls of plain services", 1, Milliseconds(200)),
                 upstreams = upstreams,
-                routeServices = listOf(RouteService("model", servesModels = true, load.engines.tokensPerEvent)),
             ),
             RouterLocation("zone-${zoneOf(entry)}", "zone-${zoneOf(entry)}"),
             load.entriesPerZone,
@@ -164,11 +179,13 @@
         zone: String,
     ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, listOf("model"), slots = load.engines.slots)
 
+    private fun rareClass(kind: StreamKind) = "${kind.name} of a rare tier"
+
     private fun work(stream: SimulatedStream) =
         QueuedWork(
             stream.number,
             "organisation",
-            stream.kind.name,
+            if (stream.ofRareTier) rareClass(stream.kind) else stream.kind.name,
             1,
             WorkTarget.Model("model"),
             arrival = now.toLong(),
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadTest.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadTest.kt
@@ -39,6 +39,7 @@
             "short prompts" to BINDERY.times(4.0, "check"),
             "streams with short pauses" to BINDERY.times(4.0, "chat"),
             "long prompts on a slow engine" to SLOW.times(4.0, "report"),
+            "three times the load of the lights" to LIGHTS.times(3.0),
         ).map { (name, load) ->
             DynamicTest.dynamicTest(name) {
                 val mostSensitive = load.kinds.minBy { it.pause }.name
--- a/routing/src/test/kotlin/hawthorncrank/routing/SimulatedBatchEngine.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/SimulatedBatchEngine.kt
@@ -7,6 +7,7 @@
     val entry: Int,
     val part: Long,
     val arrivedAt: Double,
+    val ofRareTier: Boolean,
 ) {
     var prefillLeft = 0
     var tokens = 0
