Show upstreams without work and suspensions in the metrics

Holds, marks of leaving upstreams and suspensions had log events only. Also, while an upstream is held off, queued requests are checked against the holds of their target once after each event, not once for each request.

HoldsTest, EntryMetricsTest and the others of these modules that concern membership and confirmation pass.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -39,7 +39,7 @@
     internal val confirmation: ConfirmationState = ConfirmationState(),
     internal val reportedReady: Boolean = false,
     internal val statusSentAt: Long = 0,
-    internal val queuesMeasuredAt: Long = 0,
+    internal val measuredAt: Long = 0,
 ) {
     /** The number of requests without a final answer, for the process's status page. */
     val requestsInProgress: Int
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/Measurement.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Measurement.kt
@@ -29,6 +29,16 @@
         val bytes: Long,
     ) : Measurement
 
+    /** How many configured upstreams get no requests because they leave, asked for none, or could not be reached. */
+    data class UpstreamsWithoutWork(
+        val leaving: Int,
+        val heldOff: Int,
+        val excluded: Int,
+    ) : Measurement
+
+    /** The machine was suspended, or its time of day was set forward. */
+    data object Suspended : Measurement
+
     data class CrossRegionBytes(
         val organisation: String,
         val bytes: Long,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.core.internal
 
 import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.Measurement
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EntryToControl
 
@@ -48,6 +49,7 @@
     val confirmation = state.confirmation
     state = state.copy(confirmation = confirmation.copy(suspended = confirmation.suspended + milliseconds))
     record(EntryDecisionEvent.MACHINE_SUSPENDED, "milliseconds" to milliseconds)
+    emit(EntryEffect.Measure(Measurement.Suspended))
     if (state.controlLink.open) requestConfirmation()
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -93,7 +93,7 @@
     upstreamListTick()
     suspectsTick()
     sendStatus()
-    measureQueues()
+    measureState()
 }
 
 private fun Reduction.sendStatus() {
@@ -113,9 +113,10 @@
     emit(EntryEffect.SendToControl(status))
 }
 
-private fun Reduction.measureQueues() {
-    if (now - state.queuesMeasuredAt < QUEUES_INTERVAL_MILLISECONDS) return
-    state = state.copy(queuesMeasuredAt = now)
+private fun Reduction.measureState() {
+    if (now - state.measuredAt < MEASUREMENT_INTERVAL_MILLISECONDS) return
+    state = state.copy(measuredAt = now)
+    measureUpstreams()
     state.configuration.configuration.classes.forEach { trafficClass ->
         val length = state.scheduler.view.queuedOf(trafficClass.name)
         val measurement = Measurement.QueueLength(trafficClass.name, length.requests, length.bytes)
@@ -124,4 +125,4 @@
 }
 
 private const val STATUS_INTERVAL_MILLISECONDS = 2_000L
-private const val QUEUES_INTERVAL_MILLISECONDS = 1_000L
+private const val MEASUREMENT_INTERVAL_MILLISECONDS = 1_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Holds.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Holds.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.Refusal
+import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.protocol.Upstream
 
 /**
@@ -46,17 +47,18 @@
     }
     state.requests.active.values
         .filter { it.phase == RequestPhase.Queued }
-        .forEach { active ->
-            val wait = shortestHold(active)
-            if (wait != null && wait > timeToWait(active)) refuse(active, Refusal.Overloaded(wait))
+        .groupBy { it.request.target }
+        .forEach { (target, queued) ->
+            val wait = shortestHold(target) ?: return@forEach
+            queued.filter { wait > timeToWait(it) }.forEach { refuse(it, Refusal.Overloaded(wait)) }
         }
 }
 
-/** How long all upstreams of the request that could serve it are held off; null if one of them is not. */
-private fun Reduction.shortestHold(active: ActiveRequest): Long? {
+/** How long all upstreams of the target that could serve it are held off; null if one of them is not. */
+private fun Reduction.shortestHold(target: RequestTarget): Long? {
     val usable =
         state.configuration.effective.upstreams
-            .filter { serves(it, active.request.target) && !isLeaving(it) }
+            .filter { serves(it, target) && !isLeaving(it) }
             .filter { upstream -> state.membership.observed[upstream.name]?.let { isReachable(upstream, it) } != false }
     val holds = usable.map { upstream -> heldUntil(upstream) ?: return null }
     return holds.minOrNull()?.let { it - now }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.core.internal
 
 import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.Measurement
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.RouteService
@@ -25,6 +26,16 @@
     observation: Observation,
 ): Boolean = observation.excluded == null && observation.taken?.address != upstream.address
 
+internal fun Reduction.measureUpstreams() {
+    val (leaving, others) =
+        state.configuration.effective.upstreams
+            .partition(::isLeaving)
+    val observed = others.mapNotNull { upstream -> state.membership.observed[upstream.name]?.let { upstream to it } }
+    val heldOff = observed.count { (upstream, observation) -> isHeld(upstream, observation) }
+    val excluded = observed.count { (upstream, observation) -> !isReachable(upstream, observation) }
+    emit(EntryEffect.Measure(Measurement.UpstreamsWithoutWork(leaving.size, heldOff, excluded)))
+}
+
 internal fun Reduction.isLeaving(upstream: Upstream): Boolean {
     val membership = state.membership
     val name = upstream.name
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/HoldsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/HoldsTest.kt
@@ -26,6 +26,16 @@
         assertTrue(held.upstream in (11L..16L).flatMap { scenario.call(it, IDEMPOTENT).starts() }.map { it.upstream })
     }
 
+    @Test
+    fun `upstreams that asked for no requests are counted until the time has passed`() {
+        val held = scenario.call(1, IDEMPOTENT).start()
+        scenario.end(held.attemptNumber, rejected(2_500))
+        val counted = scenario.pass(4_000).of<EntryEffect.Measure>().map { it.measurement }
+        val heldOff = counted.filterIsInstance<Measurement.UpstreamsWithoutWork>().map { it.heldOff }
+        assertEquals(1, heldOff.first())
+        assertEquals(0, heldOff.last())
+    }
+
     @Test
     fun `two callers at once that are rejected keep the longer of the two times`() {
         val scenario = RoutedScenario(listOf(listedService("s1"), listedService("s2")))
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryMetrics.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryMetrics.kt
@@ -8,6 +8,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.time.Duration
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
 /** The entry's metrics. The number of time series is bounded because class and organisation labels are limited. */
@@ -17,6 +18,10 @@
     private val organisations = LabelLimiter(ORGANISATION_LABELS)
     private val queueLengths = ConcurrentHashMap<String, AtomicLong>()
     private val queueBytes = ConcurrentHashMap<String, AtomicLong>()
+    private val leavingUpstreams = registry.gauge("hawthorncrank.upstreams.leaving", AtomicInteger())!!
+    private val heldOffUpstreams = registry.gauge("hawthorncrank.upstreams.held.off", AtomicInteger())!!
+    private val excludedUpstreams = registry.gauge("hawthorncrank.upstreams.excluded", AtomicInteger())!!
+    private val suspensions = registry.counter("hawthorncrank.suspensions")
     private val controlDelay =
         Timer
             .builder("hawthorncrank.control.delay")
@@ -51,6 +56,12 @@
                 set(queueLengths, "hawthorncrank.queue.requests", measurement.className, measurement.requests.toLong())
                 set(queueBytes, "hawthorncrank.queue.bytes", measurement.className, measurement.bytes)
             }
+            is Measurement.UpstreamsWithoutWork -> {
+                leavingUpstreams.set(measurement.leaving)
+                heldOffUpstreams.set(measurement.heldOff)
+                excludedUpstreams.set(measurement.excluded)
+            }
+            is Measurement.Suspended -> suspensions.increment()
             is Measurement.CrossRegionBytes ->
                 Counter
                     .builder("hawthorncrank.region.bytes")
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/EntryMetricsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/EntryMetricsTest.kt
@@ -25,4 +25,16 @@
             "hawthorncrank_requests_total{attained=\"true\",class=\"quick\",result=\"completed\"} 1000.0",
         )
     }
+
+    @Test
+    fun `upstreams without work and suspensions are shown`() {
+        val metrics = EntryMetrics()
+        metrics.record(Measurement.UpstreamsWithoutWork(leaving = 1, heldOff = 2, excluded = 3))
+        repeat(2) { metrics.record(Measurement.Suspended) }
+        val text = metrics.scrape()
+        assertContains(text, "hawthorncrank_upstreams_leaving 1.0")
+        assertContains(text, "hawthorncrank_upstreams_held_off 2.0")
+        assertContains(text, "hawthorncrank_upstreams_excluded 3.0")
+        assertContains(text, "hawthorncrank_suspensions_total 2.0")
+    }
 }
