--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -126,7 +126,7 @@
         const val FEW_PAUSES_PENALTY = 0.08
 
         /** The share of its target that a short prompt of a class with long ones waits for other engines. */
-        const val SHORTER_THAN_USUAL_PENALTY = 0.15
+        const val SHORTER_THAN_USUAL_PENALTY = 0.1
 
         /** The share of its target that a request waits for other engines before it causes pauses in others' answers. */
         const val CAUSED_PAUSES_PENALTY = 1.0
