--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
@@ -5,8 +5,8 @@
 import kotlin.math.abs
 
 /**
- * What this entry has observed of the prompts of one target. [shortShare] is the share of engines that is kept for the
- * classes whose callers count short pauses.
+ * What this entry has observed of the prompts of one target. [shortShare] is the share of engines that is kept for short
+ * prompts.
  */
 internal data class TargetLoad(
     val speed: PrefillSpeed = PrefillSpeed(),
