--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
@@ -77,6 +77,7 @@
 
 private const val REQUEST_INTERVAL_MILLISECONDS = 500L
 
-// A leaving upstream must get no new work after 4 s. A reading of its own takes the entry a second at most.
+// A leaving upstream gets new work until a list says so: this age, a reading of the entry's own and the list's delay add
+// up.
 private const val LONGEST_AGE_MILLISECONDS = 2_000L
 private const val FIRST_ANSWER_WAIT_MILLISECONDS = 300L
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
@@ -24,12 +24,7 @@
     /** A confirmation that arrives late must not be valid for longer than one that arrives at once. */
     @Test
     fun `the age of a confirmation counts from the time of its question`() {
-        val asked =
-            scenario
-                .passUnconfirmed(500)
-                .toControl<EntryToControl.ConfirmConfiguration>()
-                .last()
-                .question
+        val asked = lastQuestion()
         scenario.passUnconfirmed(4_000)
         scenario.control(ControlToEntry.ConfigurationConfirmed(asked, 5))
         scenario.passUnconfirmed(asked + RoutedScenario.CONFIRMATION_LIFETIME - scenario.now)
@@ -41,12 +36,7 @@
     /** A key may have been revoked while the machine was suspended. */
     @Test
     fun `a suspension ages the last confirmation and the answer to a question from before it`() {
-        val asked =
-            scenario
-                .passUnconfirmed(500)
-                .toControl<EntryToControl.ConfirmConfiguration>()
-                .last()
-                .question
+        val asked = lastQuestion()
         val suspended = scenario.send(EntryEvent.MachineSuspended(4_600))
         assertEquals(1, suspended.toControl<EntryToControl.ConfirmConfiguration>().size)
         assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(1, AT_MOST_ONCE).refusal())
@@ -106,4 +96,12 @@
         scenario.end(late.attemptNumber, completed())
         assertTrue(EntryEffect.Terminate in scenario.send(EntryEvent.AnswerDelivered(1)))
     }
+
+    /** When the entry last asked for a confirmation, which it does every 500 ms. */
+    private fun lastQuestion(): Long =
+        scenario
+            .passUnconfirmed(500)
+            .toControl<EntryToControl.ConfirmConfiguration>()
+            .last()
+            .question
 }
