Show that two lost seeds let a third form a second control group

Cause: of six core machines five get a vote. The sixth keeps the right to form a group from its first start. If it is a seed and the two other seeds lose their disks, it forms a second group while the first one still has a majority. Entries know only the seeds; the second group confirms version 0 to them, which they take as a proof that their configuration is the newest.

Change: a script with six core machines, of which two may be lost, that takes the disks of two seeds and then a key.

--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -57,6 +57,7 @@
     final List<Cut> cuts = new ArrayList<>();
     final List<Process> core = new ArrayList<>();
     Platform platform;
+    private int toleratedLosses = 1;
 
     Lab(Path recordFile) throws IOException {
         folder = Files.createTempDirectory("hawthorncrank-review");
@@ -97,11 +98,27 @@
 
     /** Starts three control replicas, the platform's list, and a cut in front of each replica's link port. */
     void startCore(List<Engine> engines) throws Exception {
+        startCore(engines, 3, 1);
+    }
+
+    /** Starts {@code machines} control replicas, of which {@code losses} may be lost. The first three are the seeds. */
+    void startCore(List<Engine> engines, int machines, int losses) throws Exception {
+        toleratedLosses = losses;
         platform = new Platform(this, address(31), engines);
         for (int number = 1; number <= 3; number++) {
             cuts.add(new Cut(this, address(10 + number), linkPort, address(number), linkPort));
         }
-        for (int number = 1; number <= 3; number++) core.add(startControl(number, true, 1, 2, 3));
+        for (int number = 1; number <= machines; number++) core.add(startControl(number, true, 1, 2, 3));
+    }
+
+    /** Starts the whole core again for the first time, with empty disks. */
+    void startCoreAgain() throws Exception {
+        for (int number = 1; number <= core.size(); number++) {
+            kill(core.get(number - 1));
+            loseDisk(number);
+            Files.delete(folder.resolve("core-" + number + ".log"));
+        }
+        for (int number = 1; number <= core.size(); number++) core.set(number - 1, startControl(number, true, 1, 2, 3));
     }
 
     /** Starts a control replica whose settings name the machines {@code seeds}. */
@@ -122,7 +139,7 @@
                 "fleet_key = \"hawthorncrank\"",
                 "seeds = [" + seeds + "]",
                 "bootstrap = " + bootstrap,
-                "tolerated_losses = 1",
+                "tolerated_losses = " + toleratedLosses,
                 "heartbeat = \"200 ms\"",
                 "election_timeout = \"700 ms\"",
                 "");
