--- a/review/1/LostSeeds.java
+++ b/review/1/LostSeeds.java
@@ -35,6 +35,7 @@
 
     private static boolean run(Lab lab) throws Exception {
         Engine desk = new Engine(lab, "i-desk", "desk", lab.address(41), 6);
+        lab.contactTime = CONTACT;
         lab.startCore(List.of(desk), MACHINES, TOLERATED);
         int sixth = awaitVoters(lab);
         for (int start = 1; sixth > SEEDS; start++) {
--- a/review/Lab.java
+++ b/review/Lab.java
@@ -57,6 +57,7 @@
     final List<Cut> cuts = new ArrayList<>();
     final List<Process> core = new ArrayList<>();
     Platform platform;
+    int contactTime = CONTACT;
     private int toleratedLosses = 1;
 
     Lab(Path recordFile) throws IOException {
@@ -171,7 +172,7 @@
                 "drain_time = \"3 s\"",
                 "stop_time = \"" + GRACE / 1_000 + " s\"",
                 "heartbeat = \"400 ms\"",
-                "contact_time = \"" + CONTACT + " ms\"",
+                "contact_time = \"" + contactTime + " ms\"",
                 "key_revocation = \"" + REVOKE + " ms\"",
                 ""));
         for (int zone = 1; zone <= 3; zone++) {
