Form no second control group beside one whose seeds lost their disks

Cause: a replica that was never admitted kept the right to form a group, and an empty disk counted as proof that its replica had never been in one. The lost seeds also could not find the group, because they ask only seeds, and only a leader answered.

Change: a disk notes at the first start of all replicas that it is new, until its replica hears of a group. A seed forms a group only while a majority of the seeds has such a disk, and a group of one replica admits others only when a majority of the seeds has stored that it exists. Any two such majorities have a seed in common, so this holds for any number of lost disks. Every member answers a request to join with the voters, and a replica that hears messages for its former identity asks their sender. A learner whose voter was replaced by another is released, which a request to join alone did not do.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaRefusal.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaRefusal.kt
@@ -11,6 +11,10 @@
     NO_LEADER("no leader is known, or it has no majority", "retry in a few seconds and check that a majority runs"),
     NOT_LEADER("this replica is not the leader", "send the request to the leader"),
     ALREADY_FORMED("this replica already belongs to a group", "use the formed group; a group is formed only once"),
+    GROUP_EXISTS(
+        "another replica reports that the group exists",
+        "wait until its leader admits this replica; do not form a second group",
+    ),
     INVALID_MEMBERS(
         "the members are not valid",
         "list 1 to 7 members, including this replica, with unique names and identities",
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
@@ -27,6 +27,12 @@
      * passed since then.
      */
     val majorityContactAt: Long?
+
+    /** Replicas outside the group that have recently asked this member to be admitted. */
+    val waitingReplicas: List<ReplicaMember>
+
+    /** Whether a group exists and this replica is not one of its members, as far as it knows. */
+    val awaitsAdmission: Boolean
 }
 
 enum class ReplicaRole { UNADMITTED, FOLLOWER, CANDIDATE, LEADER }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ConsensusEvent.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ConsensusEvent.kt
@@ -21,4 +21,8 @@
     SNAPSHOT_INSTALLED(3009, Level.INFO, "snapshot received from the leader was installed"),
     IDENTITY_RETIRED(3010, Level.ERROR, "this identity was replaced; remove the data folder and start again"),
     TAIL_TRUNCATED(3011, Level.WARN, "unsynced tail of the log truncated"),
+    REPLICA_WAITING(3012, Level.WARN, "a replica asks to join, but the group has all its voters"),
+    ADMISSION_AWAITED(3013, Level.WARN, "a group exists, and this replica waits to be admitted"),
+    LEARNER_RELEASED(3015, Level.INFO, "a learner was released because the voter that it was to replace is back"),
+    FORMATION_WITHHELD(3016, Level.WARN, "this seed forms no group, because a group may exist"),
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
@@ -9,12 +9,18 @@
 import hawthorncrank.protocol.ReplicaMember
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
 
 /**
  * The full state of one replica. [deferred] holds actions that wait until all earlier persist effects are synced.
  * Records are applied in the same reduction that commits them, so the applied index equals [committedIndex].
+ *
+ * [contacts] are members of the group that this replica has heard of, by address; it asks them to be admitted. [waiting]
+ * are the replicas that asked this member to be admitted, by name and in the order in which they first asked.
+ * [groupWitnesses] are the seeds that have stored that this group exists.
  */
 internal data class DefaultReplicaState(
     override val self: ReplicaMember,
@@ -38,6 +44,11 @@
     val pendingCaptureIndex: Long? = null,
     val nextJoinRequestAt: Long = Long.MIN_VALUE,
     val formationClaims: PersistentMap<String, FormationClaim> = persistentMapOf(),
+    val formationWithheld: Boolean = false,
+    override val awaitsAdmission: Boolean = false,
+    val contacts: PersistentMap<String, ReplicaMember> = persistentMapOf(),
+    val waiting: PersistentMap<String, WaitingReplica> = persistentMapOf(),
+    val groupWitnesses: PersistentSet<String> = persistentSetOf(),
     val stopped: Boolean = false,
 ) : ReplicaState {
     override val group: String? get() = vote.group
@@ -66,6 +77,9 @@
     override val majorityContactAt: Long?
         get() = (phase as? Leading)?.takeIf { it.confirmedRound > 0 }?.majorityContactAt
 
+    override val waitingReplicas: List<ReplicaMember>
+        get() = waiting.values.map { it.member }
+
     /**
      * A commit needs a majority in each of these memberships: the newest and, until the leader that appended it has
      * committed it, the previous one. A replacement swaps two identities in one step, so if the lost identity came
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Leadership.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Leadership.kt
@@ -24,7 +24,9 @@
     if (periodicWorkIsDue) leader.progress.keys.forEach(::resendWhenUnanswered)
     if (now - leader.heartbeatAt >= settings.heartbeatInterval) startRound()
     if (!periodicWorkIsDue) return
+    releaseLearner()
     promoteLearner()
+    admitWaitingReplica()
     updateLeading { it.copy(committedAtHeartbeat = state.committedIndex, periodicWorkAt = now) }
 }
 
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
@@ -1,7 +1,6 @@
 /*
- * Changes the membership, one change at a time, through records that take effect when they are appended. A replica with
- * the name of a member but a new identity has lost its disk. The leader admits it as a learner, and once it has caught
- * up, one record replaces the lost identity with it. Until then the lost identity still counts towards majorities.
+ * Changes the membership through records that take effect when they are appended. Two majorities of
+ * replicas that still have their disks, one before and one after a change, always have a replica in common.
  */
 package hawthorncrank.consensus.internal
 
@@ -30,6 +29,7 @@
             members.distinctBy { it.identity }.size == members.size &&
             members.distinctBy { it.name }.size == members.size
     if (state.group != null) return refuse(event.ticket, ReplicaRefusal.ALREADY_FORMED)
+    if (state.contacts.isNotEmpty()) return refuse(event.ticket, ReplicaRefusal.GROUP_EXISTS)
     if (!valid) return refuse(event.ticket, ReplicaRefusal.INVALID_MEMBERS)
     persistRecords(listOf(LogRecord(1, 0, RecordKind.MEMBERSHIP, encodeMembership(Membership(members)))))
     persistVote(VoteState(group = state.self.identity))
@@ -45,77 +45,12 @@
     logEvent(ConsensusEvent.GROUP_JOINED, "group" to group)
 }
 
-/**
- * Sends join requests while the replica is not admitted or hears from no leader. In the second case the record of its
- * admission may have been lost with the leader that appended it, even if its own log still contains that record. A
- * leader ignores requests from members.
- */
-internal fun ReplicaStep.requestJoinWhenDue() {
-    val hearsNoLeader = now - state.leaderHeardAt >= settings.electionTimeoutMaximum
-    if (state.nextJoinRequestAt > now || state.group != null && !hearsNoLeader) return
-    state = state.copy(nextJoinRequestAt = now + settings.joinInterval)
-    settings.peers.forEach { send(ReplicaMember(it.name, "", it.address), ReplicaMessage.JoinRequest) }
-    sendFormationNotices()
-}
-
 internal fun ReplicaStep.isMember(replica: ReplicaMember): Boolean =
     (state.requiredMemberships + state.membership).any { membership ->
         membership.voters.any { it.identity == replica.identity } ||
             membership.learners.any { it.member.identity == replica.identity }
     }
 
-internal fun ReplicaStep.receiveJoinRequest(envelope: ReplicaEnvelope) {
-    val leader = leading ?: return
-    val sender = envelope.sender
-    val otherGroup = envelope.group.isNotEmpty() && envelope.group != state.group
-    if (otherGroup || sender.identity in leader.progress) return
-    val membership = state.membership
-    val voter = membership.voters.find { it.name == sender.name }
-    val learner = membership.learners.find { it.member.name == sender.name }
-    if (sender.identity in membership.retired) return ignoreJoin(sender)
-    if (voter == null && learner == null) return admitUnknown(sender)
-    if (listOfNotNull(voter, learner?.member).any { isAlive(it.identity) }) return ignoreJoin(sender)
-    if (changeInProgress()) return
-    val replaces = learner?.replaces ?: voter?.identity
-    appendMembership(membership.withLearner(Learner(sender, replaces), learner))
-}
-
-private fun ReplicaStep.ignoreJoin(sender: ReplicaMember) =
-    logEvent(ConsensusEvent.JOIN_IGNORED, "name" to sender.name, "identity" to sender.identity)
-
-/** Admits a replica whose name matches no member if the group is below its target, or to replace a lost voter. */
-private fun ReplicaStep.admitUnknown(sender: ReplicaMember) {
-    val target = settings.targetVoters ?: return ignoreJoin(sender)
-    if (changeInProgress()) return
-    val membership = state.membership
-    val plannedVoters = membership.voters.size + membership.learners.count { it.replaces == null }
-    val replaces = if (plannedVoters < target) null else lostVoter()?.identity ?: return ignoreJoin(sender)
-    appendMembership(membership.withLearner(Learner(sender, replaces), null))
-}
-
-private fun ReplicaStep.lostVoter(): ReplicaMember? =
-    state.membership.voters.firstOrNull { voter ->
-        val progress = leading?.progress?.get(voter.identity)
-        progress != null &&
-            now - progress.answeredAt >= settings.lostVoterTimeout &&
-            state.membership.learners.none { it.replaces == voter.identity }
-    }
-
-/** Two processes with the same name are a configuration mistake. The running member is not replaced. */
-private fun ReplicaStep.isAlive(identity: String): Boolean {
-    val progress = leading?.progress?.get(identity) ?: return identity == state.self.identity
-    return progress.hasAnswered && now - progress.answeredAt < settings.electionTimeoutMinimum
-}
-
-/**
- * The [displaced] learner is not retired: it never voted, and it must be able to join again if a delayed request from
- * an older identity displaced it.
- */
-private fun Membership.withLearner(
-    learner: Learner,
-    displaced: Learner?,
-): Membership = copy(learners = learners.filter { it != displaced } + learner)
-
 internal fun ReplicaStep.admit(
     ticket: Long,
     member: ReplicaMember,
@@ -175,33 +110,12 @@
     }
 
 /** Also true until the leader has committed a record of its own term. */
-private fun ReplicaStep.changeInProgress(): Boolean {
+internal fun ReplicaStep.changeInProgress(): Boolean {
     val leader = leading ?: return true
     return state.memberships.last().index > state.committedIndex || state.committedIndex < leader.firstIndex
 }
 
-/** Makes a learner a voter once it has every record that was committed at the last heartbeat. */
-internal fun ReplicaStep.promoteLearner() {
-    val leader = leading ?: return
-    if (changeInProgress()) return
-    val membership = state.membership
-    val ready =
-        membership.learners.find {
-            val progress = leader.progress[it.member.identity]
-            val caughtUp = progress != null && progress.matchIndex >= leader.committedAtHeartbeat
-            caughtUp && isAlive(it.member.identity) && (it.replaces == null || !isAlive(it.replaces))
-        } ?: return
-    val voters =
-        if (ready.replaces == null) {
-            membership.voters + ready.member
-        } else {
-            membership.voters.map { if (it.identity == ready.replaces) ready.member else it }
-        }
-    val retired = (membership.retired + listOfNotNull(ready.replaces)).takeLast(MAXIMUM_RETIRED_IDENTITIES)
-    appendMembership(Membership(voters, membership.learners - ready, retired))
-}
-
-private fun ReplicaStep.appendMembership(
+internal fun ReplicaStep.appendMembership(
     membership: Membership,
     origin: Origin? = null,
 ) {
@@ -238,4 +152,4 @@
 private const val MAXIMUM_VOTERS = 7
 
 /** Enough for ten years of lost disks. Older identities are forgotten; unknown identities never count as members. */
-private const val MAXIMUM_RETIRED_IDENTITIES = 100
+internal const val MAXIMUM_RETIRED_IDENTITIES = 100
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -53,6 +53,7 @@
         )
     val step = ReplicaStep(settings, Safeguards(), now, state)
     step.resetElectionDeadline()
+    step.markFirstStart()
     if (snapshot != null) step.emit(ReplicaEffect.InstallSnapshot(snapshot.lastIndex, snapshot.bytes))
     if (recovered.truncatedBytes > 0) step.logEvent(ConsensusEvent.TAIL_TRUNCATED, "bytes" to recovered.truncatedBytes)
     return step.transition()
@@ -103,6 +104,7 @@
 private fun ReplicaStep.tick() {
     expireRequests(now - settings.forwardTimeout)
     expireReads()
+    expireWaiting()
     if (leading != null) return tickAsLeader()
     requestJoinWhenDue()
     formGroupWhenDue()
@@ -157,7 +159,10 @@
     val message = envelope.message
     if (message is ReplicaMessage.JoinRequest) return receiveJoinRequest(envelope)
     if (message is ReplicaMessage.FormationNotice) return receiveFormationNotice(envelope, message)
-    if (envelope.recipient != state.self.identity || envelope.group.isEmpty()) return
+    if (message is ReplicaMessage.GroupNotice) return receiveGroupNotice(envelope, message)
+    if (message is ReplicaMessage.GroupNoted) return receiveGroupNoted(envelope)
+    if (envelope.group.isEmpty()) return
+    if (envelope.recipient != state.self.identity) return receiveForFormerIdentity(envelope)
     if (state.group == null) {
         if (message !is ReplicaMessage.FromLeader && message !is ReplicaMessage.VoteRequest) return
         joinGroup(envelope.group)
@@ -179,6 +184,7 @@
         is ReplicaMessage.ForwardedAnswer -> receiveForwardedAnswer(message)
         is ReplicaMessage.ReadIndexAnswer -> receiveReadAnswer(message)
         is ReplicaMessage.JoinRequest, is ReplicaMessage.FormationNotice -> Unit
+        is ReplicaMessage.GroupNotice, is ReplicaMessage.GroupNoted -> Unit
         else -> if (isMember(envelope.sender)) dispatchFromMember(envelope, message)
     }
 }
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -36,10 +36,12 @@
     private val safeguards: Safeguards = Safeguards(),
     val checker: HistoryChecker = HistoryChecker(),
     firstFormsGroup: Boolean = true,
+    private val settingsOf: (String, ReplicaSettings) -> ReplicaSettings = { _, settings -> settings },
     private val adjustSettings: (ReplicaSettings) -> ReplicaSettings = { it },
 ) {
     val random = Random(seed)
-    val replicas = (names + spare).associateWith { SimulatedReplica(it, FakeDisk("$it-1")) }
+    private val machines = (names + spare).associateWithTo(LinkedHashMap()) { SimulatedReplica(it, FakeDisk("$it-1")) }
+    val replicas: Map<String, SimulatedReplica> get() = machines
     val cutLinks = mutableSetOf<Pair<String, String>>()
     val sentMessages = mutableListOf<ReplicaEnvelope>()
     val events = mutableListOf<EventCode>()
@@ -70,13 +72,27 @@
         if (firstFormsGroup) deliver(names.first(), ReplicaEvent.FormGroup(0, members))
     }
 
+    /** Adds a replica with an empty disk, which is not running yet. */
+    fun add(name: String) {
+        machines[name] = SimulatedReplica(name, FakeDisk("$name-1"))
+    }
+
+    /** Removes a replica for good. */
+    fun remove(name: String) {
+        crash(name)
+        machines -= name
+    }
+
     fun member(name: String): ReplicaMember {
         val disk = replicas.getValue(name).disk
         return ReplicaMember(name, disk.durable.identity, name)
     }
 
     private fun settings(name: String) =
-        adjustSettings(ReplicaSettings(replicas.keys.filter { it != name }.map { ReplicaPeer(it, it) }))
+        settingsOf(
+            name,
+            adjustSettings(ReplicaSettings(replicas.keys.filter { it != name }.map { ReplicaPeer(it, it) })),
+        )
 
     fun after(
         delay: Long,
@@ -109,6 +125,7 @@
         replica.state = first.state
         replica.incarnation++
         first.effects.forEach { execute(replica, it) }
+        syncPersisted(replica, first.effects)
         scheduleTick(replica, replica.incarnation)
     }
 
@@ -181,7 +198,14 @@
         checker.observe(transition.state)
         if (transition.state.role == ReplicaRole.LEADER) checkLeases(transition.state)
         transition.effects.forEach { execute(replica, it) }
-        val token = transition.effects.filterIsInstance<ReplicaEffect.Persist>().maxOfOrNull { it.token } ?: return
+        syncPersisted(replica, transition.effects)
+    }
+
+    private fun syncPersisted(
+        replica: SimulatedReplica,
+        effects: List<ReplicaEffect>,
+    ) {
+        val token = effects.filterIsInstance<ReplicaEffect.Persist>().maxOfOrNull { it.token } ?: return
         scheduleSync(replica, token)
     }
 
@@ -280,7 +304,11 @@
             val delay = if (random.nextInt(100) < slowPercent) random.nextLong(2_000) else random.nextLong(1, 20)
             after(delay) {
                 val cut = (sender.name to effect.recipient.address) in cutLinks
-                if (!cut) deliver(effect.recipient.address, ReplicaEvent.EnvelopeReceived(envelope))
+                if (!cut &&
+                    effect.recipient.address in machines
+                ) {
+                    deliver(effect.recipient.address, ReplicaEvent.EnvelopeReceived(envelope))
+                }
             }
         }
     }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
@@ -47,7 +47,7 @@
  * A message between control replicas, marked with group and sender so that a replica outside the group is ignored.
  * [recipient] is an identity, so that a message to a lost replica is not accepted by its replacement at the same
  * address. A [ReplicaMessage.JoinRequest] and a [ReplicaMessage.FormationNotice] know neither group nor recipient and leave
- * both empty.
+ * both empty. A [ReplicaMessage.GroupNoted] comes from a replica without a group and names only the recipient.
  */
 @Serializable
 @SerialName("replica")
@@ -127,14 +127,28 @@
     data object JoinRequest : ReplicaMessage
 
     /**
-     * Sent by a replica that belongs to no group. [mayForm] is set if it is one that may still form the group.
+     * Sent by a replica that belongs to no group. [mayForm] is set if it is one that may still form the group, and
+     * [knowsNoGroup] if its disk shows that it never heard of one.
      */
     @Serializable
     @SerialName("formation")
     data class FormationNotice(
         @SerialName("f") val mayForm: Boolean,
+        @SerialName("k") val knowsNoGroup: Boolean = false,
     ) : ReplicaMessage
 
+    /** Tells a replica outside the group that the group exists and which [voters] it can ask to be admitted. */
+    @Serializable
+    @SerialName("group")
+    data class GroupNotice(
+        @SerialName("v") val voters: List<ReplicaMember>,
+    ) : ReplicaMessage
+
+    /** Answers a [GroupNotice]: the sender has stored that a group exists. */
+    @Serializable
+    @SerialName("noted")
+    data object GroupNoted : ReplicaMessage
+
     /** A follower passes a client's command to the leader. */
     @Serializable
     @SerialName("command")
