Take a confirmation of the configuration only from the group that it came from

Cause: a confirmation of any version up to the one in force counted, from any group.

Change: only a confirmation of exactly the version in force counts, and an entry keeps the group of its configuration. It asks for the group in its question, so that an entry of an older build never gets a field that it cannot read; replicas are upgraded first.

ConfigurationConfirmationTest: the test with older versions failed before; the one with two groups did not compile before.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -133,7 +133,8 @@
     message: EntryToControl.ConfirmConfiguration,
 ) {
     val session = state.entryLinks[link] ?: return
-    state = state.copy(entryLinks = state.entryLinks.put(link, session.copy(question = message.question)))
+    val updated = session.copy(question = message.question, asksGroup = message.asksGroup)
+    state = state.copy(entryLinks = state.entryLinks.put(link, updated))
     confirmEntries(listOf(link))
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntryStreams.kt
@@ -97,7 +97,11 @@
         state.control.entries.values
             .count { it.replica != null }
     questions.forEach { (link, question) ->
-        send(link, ControlToEntry.ConfigurationConfirmed(question, state.control.version, entries))
+        val group =
+            state.replica.group
+                ?.takeIf { state.entryLinks[link]?.asksGroup == true }
+                .orEmpty()
+        send(link, ControlToEntry.ConfigurationConfirmed(question, state.control.version, entries, group))
     }
     startConfirmation()
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -114,7 +114,8 @@
 
 /**
  * A linked entry. [heldVersion] is the version that it holds or has been sent, [confirmedVersion] the version last sent
- * as confirmed, and [question] the number of its latest request to confirm the newest version, 0 before the first.
+ * as confirmed, and [question] the number of its latest request to confirm the newest version, 0 before the first. An
+ * entry of an older build does not ask for the group and cannot read it ([asksGroup]).
  */
 internal data class EntryLink(
     val entry: String,
@@ -123,6 +124,7 @@
     val heldVersion: Long,
     val confirmedVersion: Long = 0,
     val question: Long = 0,
+    val asksGroup: Boolean = false,
     val status: EntryToControl.EntryStatus? = null,
     val statusAt: Long = 0,
     val behindSince: Long? = null,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
@@ -14,14 +14,24 @@
 internal fun Reduction.requestConfirmation() {
     if (settings.behaviour.confirmationLifetime == null) return
     state = state.copy(confirmation = state.confirmation.copy(askedAt = leaseTime))
-    emit(EntryEffect.SendToControl(EntryToControl.ConfirmConfiguration(leaseTime)))
+    emit(EntryEffect.SendToControl(EntryToControl.ConfirmConfiguration(leaseTime, asksGroup = true)))
 }
 
 internal fun Reduction.configurationConfirmed(message: ControlToEntry.ConfigurationConfirmed) {
+    if (isFromOtherGroup(message)) return
     updateFleetSize(message.entries)
-    if (message.version > state.configuration.version) return
+    if (message.version != state.configuration.version) return
     val confirmedAt = maxOf(state.confirmation.confirmedAt ?: message.question, message.question)
-    state = state.copy(confirmation = state.confirmation.copy(confirmedAt = confirmedAt))
+    val group = message.group.takeIf { it.isNotEmpty() && state.configuration.inForce } ?: state.confirmation.group
+    state = state.copy(confirmation = state.confirmation.copy(confirmedAt = confirmedAt, group = group))
+}
+
+/** The versions of another group say nothing about those of the group that the configuration in force came from. */
+private fun Reduction.isFromOtherGroup(message: ControlToEntry.ConfigurationConfirmed): Boolean {
+    val known = state.confirmation.group ?: return false
+    if (message.group.isEmpty() || message.group == known) return false
+    record(EntryDecisionEvent.OTHER_GROUP_IGNORED, "group" to message.group, "known" to known)
+    return true
 }
 
 /**
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfirmationState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfirmationState.kt
@@ -7,6 +7,7 @@
  * suspended.
  */
 internal data class ConfirmationState(
+    val group: String? = null,
     val askedAt: Long? = null,
     val confirmedAt: Long? = null,
     val entries: Int = 0,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
@@ -13,6 +13,7 @@
     CONFIGURATION_APPLIED(1501, Level.INFO, "a configuration version is in force"),
     LOWER_VERSION_IGNORED(1502, Level.WARN, "a lower configuration version was ignored"),
     STARTED_FROM_NEIGHBOURS(1503, Level.WARN, "the entry started with the highest version that neighbours reported"),
+    OTHER_GROUP_IGNORED(1504, Level.ERROR, "a confirmation from another group of control replicas was ignored"),
     UPSTREAM_EXCLUDED(1510, Level.WARN, "an upstream is excluded and will be probed"),
     UPSTREAM_RETURNED(1511, Level.INFO, "an upstream answered a probe and is used again"),
     UPSTREAM_LEAVING(1512, Level.INFO, "an upstream is leaving and gets no new work"),
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/ConfigurationConfirmationTest.kt
@@ -76,6 +76,29 @@
         assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(1, AT_MOST_ONCE).refusal())
     }
 
+    /** A replica without the configuration, such as one of another group, says that version 0 is the newest. */
+    @Test
+    fun `a confirmation of an older version does not confirm the one in force`() {
+        scenario.passUnconfirmed(4_400)
+        scenario.control(ControlToEntry.ConfigurationConfirmed(scenario.now, 0))
+        scenario.control(ControlToEntry.ConfigurationConfirmed(scenario.now, 4))
+        scenario.passUnconfirmed(200)
+        assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(1, AT_MOST_ONCE).refusal())
+    }
+
+    /** Keys that the group of this entry's configuration has revoked would stay in use. */
+    @Test
+    fun `a confirmation from another group does not confirm the configuration in force`() {
+        scenario.control(ControlToEntry.ConfigurationConfirmed(scenario.now, 5, group = "own"))
+        scenario.passUnconfirmed(4_400)
+        val other = scenario.control(ControlToEntry.ConfigurationConfirmed(scenario.now, 5, group = "other"))
+        assertEquals(listOf(1504), other.of<EntryEffect.RecordEvent>().map { it.event.number })
+        scenario.passUnconfirmed(200)
+        assertIs<Refusal.ConfigurationUnconfirmed>(scenario.call(1, AT_MOST_ONCE).refusal())
+        scenario.control(ControlToEntry.ConfigurationConfirmed(scenario.now, 5, group = "own"))
+        scenario.call(2, AT_MOST_ONCE).start()
+    }
+
     @Test
     fun `readiness depends on a valid confirmation`() {
         val lost = scenario.passUnconfirmed(5_000).of<EntryEffect.ReadinessChanged>()
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -48,13 +48,15 @@
 
     /**
      * Answers [EntryToControl.ConfirmConfiguration]: no version above [version] was committed when the question
-     * arrived. [entries] is the number of entries linked to the replicas, as far as this replica knows.
+     * arrived. [entries] is the number of entries linked to the replicas, as far as this replica knows. [group] identifies
+     * the group of replicas that has the version, and is empty if the entry did not ask for it.
      */
     @Serializable
     data class ConfigurationConfirmed(
         val question: Long,
         val version: Long,
         val entries: Int = 0,
+        val group: String = "",
     ) : ControlToEntry
 
     /**
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -67,11 +67,12 @@
 
     /**
      * Asks which configuration version is the newest. [question] is the time at which the entry asked; the answer
-     * repeats it.
+     * repeats it. [asksGroup] is set by entries that can read the group in the answer.
      */
     @Serializable
     data class ConfirmConfiguration(
         val question: Long,
+        val asksGroup: Boolean = false,
     ) : EntryToControl
 
     /**
