Admit replaced replicas again, and replace a silent voter in two changes

Cause: any voter that was silent for 3 s lost its place to any replica that asked, its identity was retired, and requests of retired identities were ignored. Related: a learner stayed tied to the voter that it was to replace when that one came back; and the place changed hands in one step, after which a majority of the old voters and one of the new ones need not share a replica, although the silent voter may be alive.

Change: a replaced voter keeps its data and waits for the next free place, in the order in which replicas asked; all voters remember who waits, so that a new leader knows. A replacement under another name first adds the new voter and then removes the silent one. As a replacement can be undone, a voter is replaced after twice the election timeout instead of 3 s, and the silence of a former leader counts from before the election.

DiscoveryTest expected three voters at the moment at which the new voter is added; now it waits until the new voter is one of exactly three, and still checks that the lost one is gone.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
@@ -25,11 +25,11 @@
     val maximumCommandBytes: Int = 512 * 1_024,
     /**
      * If set, the leader admits replicas whose names match no member until the group has this many voters. After that,
-     * it admits one only to replace a voter that has not answered for [lostVoterTimeout]. If null, only operators can
-     * add members under new names.
+     * it admits one only to replace a voter that has not answered for [lostVoterTimeout]. If null,
+     * only operators can add members under new names.
      */
     val targetVoters: Int? = null,
-    /** Long enough for a restart after a crash, so that a restarting voter is not replaced. */
+    /** A replaced voter keeps its disk and waits for the next free place, so an early replacement loses nothing. */
     val lostVoterTimeout: Long = 3_000,
     /** Set where replicas form the group without an operator. */
     val formation: Formation? = null,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Admissions.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Admissions.kt
@@ -5,6 +5,10 @@
  * - if a member has its name: a new identity under the same name means that the member's disk was lost;
  * - if the group has fewer voters than its target;
  * - to replace a voter that has been silent.
+ *
+ * A new identity under the same name replaces the lost one in a single change. A voter that is silent or stops may be
+ * alive. It is therefore replaced in two changes, of which the first adds the learner to the voters and the second
+ * removes the other voter, and it may ask to be admitted again.
  */
 package hawthorncrank.consensus.internal
 
@@ -19,7 +23,6 @@
     val sender = envelope.sender
     if (envelope.group.isNotEmpty() && envelope.group != group) return ignoreJoin(sender)
     if (isMember(sender)) return
-    if (sender.identity in state.membership.retired) return ignoreJoin(sender)
     if (state.membership.hasName(sender.name)) return replaceLostIdentity(sender)
     val known = state.waiting[sender.name]
     val waiting = known?.copy(member = sender, heardAt = now) ?: WaitingReplica(sender, now)
@@ -38,7 +41,7 @@
     val learner = membership.learners.find { it.member.name == sender.name }
     val isOutdated = sender.identity in membership.retired
     if (isOutdated || listOfNotNull(voter, learner?.member).any { isAlive(it.identity) }) return ignoreJoin(sender)
-    if (changeInProgress()) return
+    if (changeInProgress() || membership.replacementInProgress() != null) return
     appendMembership(membership.withLearner(Learner(sender, learner?.replaces ?: voter?.identity), learner))
 }
 
@@ -66,7 +69,7 @@
 
 /** Admits the replica that has waited longest among those for which there is a place. */
 internal fun ReplicaStep.admitWaitingReplica() {
-    if (leading == null || changeInProgress()) return
+    if (leading == null || changeInProgress() || state.membership.replacementInProgress() != null) return
     for (waiting in state.waiting.values) {
         if (state.membership.hasName(waiting.member.name)) continue
         val learner = learnerFor(waiting.member) ?: return
@@ -111,15 +114,20 @@
 ): Membership =
     copy(
         learners = learners.filter { it != displaced } + learner,
+        retired = retired - learner.member.identity,
     )
 
 internal fun Membership.hasName(name: String): Boolean =
     voters.any { it.name == name } || learners.any { it.member.name == name }
 
+/** The learner that already votes while the voter that it replaces is not removed yet. */
+internal fun Membership.replacementInProgress(): Learner? =
+    learners.find { learner -> voters.any { it.identity == learner.member.identity } }
+
 /** Adds a learner to the voters once it has every record that was committed at the last heartbeat. */
 internal fun ReplicaStep.promoteLearner() {
     val leader = leading ?: return
-    if (changeInProgress()) return
+    if (changeInProgress() || state.membership.replacementInProgress() != null) return
     val membership = state.membership
     val ready =
         membership.learners.find {
@@ -128,10 +136,21 @@
             caughtUp && isAlive(it.member.identity) && hasPlace(it)
         } ?: return
     val replaced = membership.voters.find { it.identity == ready.replaces }
-    if (replaced != null) return appendMembership(membership.replacing(replaced, ready))
-    appendMembership(Membership(membership.voters + ready.member, membership.learners - ready, membership.retired))
+    when {
+        replaced == null ->
+            appendMembership(
+                membership.copy(
+                    voters = membership.voters + ready.member,
+                    learners =
+                        membership.learners - ready,
+                ),
+            )
+        replaced.name == ready.member.name -> appendMembership(membership.replacing(replaced, ready))
+        else -> appendMembership(membership.copy(voters = membership.voters + ready.member))
+    }
 }
 
+/** The lost identity cannot vote any more, so one change is safe, and a second lost disk cannot interrupt it. */
 private fun Membership.replacing(
     lost: ReplicaMember,
     learner: Learner,
@@ -150,6 +169,16 @@
 
 private fun ReplicaStep.mayBeReplaced(identity: String) = !isAlive(identity)
 
+/** Removes the voter whose replacement votes since the last change. */
+internal fun ReplicaStep.finishReplacement() {
+    if (leading == null || changeInProgress()) return
+    val membership = state.membership
+    val replacement = membership.replacementInProgress() ?: return
+    val retired = (membership.retired + listOfNotNull(replacement.replaces)).takeLast(MAXIMUM_RETIRED_IDENTITIES)
+    val voters = membership.voters.filter { it.identity != replacement.replaces }
+    appendMembership(Membership(voters, membership.learners - replacement, retired))
+}
+
 /**
  * Releases a learner whose place is taken, because the voter that it was to replace is back or was replaced by another.
  * Otherwise it could not take the place of a voter that is lost later. It waits again, and keeps what it has received.
@@ -157,6 +186,7 @@
 internal fun ReplicaStep.releaseLearner() {
     if (leading == null || changeInProgress()) return
     val membership = state.membership
+    if (membership.replacementInProgress() != null) return
     val released = membership.learners.find(::isPlaceTaken) ?: return
     logEvent(
         ConsensusEvent.LEARNER_RELEASED,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ConsensusEvent.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ConsensusEvent.kt
@@ -19,7 +19,7 @@
     JOIN_IGNORED(3007, Level.WARN, "request to join ignored"),
     SNAPSHOT_SAVED(3008, Level.INFO, "snapshot saved"),
     SNAPSHOT_INSTALLED(3009, Level.INFO, "snapshot received from the leader was installed"),
-    IDENTITY_RETIRED(3010, Level.ERROR, "this identity was replaced; remove the data folder and start again"),
+    IDENTITY_RETIRED(3010, Level.ERROR, "this identity was replaced; the replica asks to be admitted again"),
     TAIL_TRUNCATED(3011, Level.WARN, "unsynced tail of the log truncated"),
     REPLICA_WAITING(3012, Level.WARN, "a replica asks to join, but the group has all its voters"),
     ADMISSION_AWAITED(3013, Level.WARN, "a group exists, and this replica waits to be admitted"),
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
@@ -20,7 +20,7 @@
  *
  * [contacts] are members of the group that this replica has heard of, by address; it asks them to be admitted. [waiting]
  * are the replicas that asked this member to be admitted, by name and in the order in which they first asked.
- * [groupWitnesses] are the seeds that have stored that this group exists.
+ * [groupWitnesses] are the seeds that have stored that this group exists. [lastLeader] is the identity of the last leader that this replica followed.
  */
 internal data class DefaultReplicaState(
     override val self: ReplicaMember,
@@ -49,6 +49,7 @@
     val contacts: PersistentMap<String, ReplicaMember> = persistentMapOf(),
     val waiting: PersistentMap<String, WaitingReplica> = persistentMapOf(),
     val groupWitnesses: PersistentSet<String> = persistentSetOf(),
+    val lastLeader: String? = null,
     val stopped: Boolean = false,
 ) : ReplicaState {
     override val group: String? get() = vote.group
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Elections.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Elections.kt
@@ -132,8 +132,18 @@
 private fun ReplicaStep.becomeLeader() {
     logEvent(ConsensusEvent.LEADER_ELECTED, "term" to state.term)
     val next = state.lastIndex + 1
-    val progress = otherMembers().associate { it.identity to Progress(it, next, answeredAt = now) }
-    state = state.copy(phase = Leading(next, now, now, progress = progress.toPersistentMap()), incoming = null)
+    val progress =
+        otherMembers().associate {
+            // The silence of the former leader began before this election.
+            val heardAt = if (it.identity == state.lastLeader) state.leaderHeardAt else now
+            it.identity to Progress(it, next, answeredAt = heardAt)
+        }
+    state =
+        state.copy(
+            phase = Leading(next, now, now, progress = progress.toPersistentMap()),
+            incoming = null,
+            awaitsAdmission = false,
+        )
     failForwardedReads()
     appendAsLeader(RecordKind.NO_OPERATION, ByteArray(0))
     startRound()
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Following.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Following.kt
@@ -15,7 +15,7 @@
     if (envelope.term < state.term || leading != null && envelope.term == state.term) return false
     if (envelope.term > state.term) adoptTerm(envelope.term)
     becomeFollower(envelope.sender)
-    state = state.copy(leaderHeardAt = now, awaitsAdmission = false)
+    state = state.copy(leaderHeardAt = now, lastLeader = envelope.sender.identity, awaitsAdmission = false)
     resetElectionDeadline()
     return true
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Leadership.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Leadership.kt
@@ -24,6 +24,7 @@
     if (periodicWorkIsDue) leader.progress.keys.forEach(::resendWhenUnanswered)
     if (now - leader.heartbeatAt >= settings.heartbeatInterval) startRound()
     if (!periodicWorkIsDue) return
+    finishReplacement()
     releaseLearner()
     promoteLearner()
     admitWaitingReplica()
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
@@ -88,6 +88,7 @@
         changeProblem() ?: when {
             !isVoter && !isLearner -> ReplicaRefusal.NOT_MEMBER
             isVoter && membership.voters.size == 1 -> ReplicaRefusal.LAST_VOTER
+            membership.replacementInProgress() != null -> ReplicaRefusal.CHANGE_IN_PROGRESS
             else -> null
         }
     if (problem != null) return refuse(ticket, problem)
@@ -146,7 +147,8 @@
     if (state.isRetired(state.self.identity)) logEvent(ConsensusEvent.IDENTITY_RETIRED)
     if (leading == null) return
     updateRecipients()
-    if (membership.voters.none { it.identity == state.self.identity }) becomeFollower(null)
+    if (membership.voters.none { it.identity == state.self.identity }) return becomeFollower(null)
+    finishReplacement()
 }
 
 private const val MAXIMUM_VOTERS = 7
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -169,7 +169,7 @@
         // The replica votes only after its admission is synced, so it ignores this request and can grant the next one.
         if (message is ReplicaMessage.VoteRequest) return
     }
-    if (envelope.group != state.group || state.isRetired(envelope.sender.identity)) return
+    if (envelope.group != state.group) return
     dispatch(envelope, message)
 }
 
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveryTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveryTest.kt
@@ -30,8 +30,8 @@
         val outside = group.replicas.keys.single { name -> group.voters.none { it.name == name } }
         val lost = group.voters.first { it.name != group.leader!!.name }
         group.crash(lost.name)
-        assertTrue(group.run(20_000) { group.voters.any { it.name == outside } }, "voters: ${group.voters}")
-        assertEquals(3, group.voters.size)
+        val replaced = { group.voters.any { it.name == outside } && group.voters.size == 3 }
+        assertTrue(group.run(20_000, until = replaced), "voters: ${group.voters}")
         assertTrue(group.voters.none { it.identity == lost.identity })
     }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -20,6 +20,9 @@
         gauge("committed_index") { it.replica.committedIndex }
         gauge("applied_index") { it.replica.appliedIndex }
         gauge("last_index") { it.replica.lastIndex }
+        gauge("voters") { it.replica.membership.voters.size }
+        gauge("waiting_replicas") { it.replica.waitingReplicas.size }
+        gauge("awaits_admission") { if (it.replica.awaitsAdmission) 1 else 0 }
         gauge("configuration_version") { it.control.version }
         gauge("claims") { it.control.claims.size }
         gauge("convictions") { process -> process.control.convictions.count { !it.value.lifted } }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -145,6 +145,7 @@
                 val state = thread.state.replica
                 when {
                     thread.state.stopping -> "stopping"
+                    state.awaitsAdmission -> "waits to be admitted to the group"
                     state.group == null -> "belongs to no group; form one with: hawthorncrank form"
                     state.leader == null -> "no leader is known; check that a majority of replicas runs"
                     else -> null
@@ -186,6 +187,7 @@
         electionTimeoutMinimum = election,
         // As in the defaults, the longest timeout is twice the shortest, so that elections rarely collide.
         electionTimeoutMaximum = 2 * election,
+        lostVoterTimeout = 2 * election,
         formation = settings.formation,
     )
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
@@ -12,13 +12,24 @@
     return listOf(
         "replica ${replica.self.name} (identity ${replica.self.identity}): ${replica.role.name.lowercase()}, " +
             "term ${replica.term}, leader $leader, applied ${replica.appliedIndex} of ${replica.lastIndex}",
-        "  group: ${replica.group ?: "none; form one with: hawthorncrank form"}",
+        "  group: ${groupLine()}",
     ) +
         replica.membership.voters.map { "  voter ${it.name} at ${it.address} (identity ${it.identity})" } +
         replica.membership.learners.map { "  learner ${it.member.name}, replaces ${it.replaces ?: "nobody"}" } +
+        replica.waitingReplicas.map {
+            "  waiting ${it.name} at ${it.address} (identity ${it.identity}), for a voter's place"
+        } +
         fleetLines() + entryLines()
 }
 
+private fun ControlStep.groupLine(): String {
+    val replica = state.replica
+    return when {
+        replica.awaitsAdmission -> "${replica.group ?: "none"}; this replica waits to be admitted"
+        else -> replica.group ?: "none; form one with: hawthorncrank form"
+    }
+}
+
 private fun ControlStep.fleetLines(): List<String> {
     val control = state.control
     val timedPlans = control.plans.values.filter { it.status == PlanStatus.CONFIRMED && it.returnsAtWallTime != null }
