Hand over the place of a core machine that stops to its successor

Cause: the successor was admitted only after the removed machine had been silent for 3 s. Until then the voters were the removed machine and two others.

Change: a voter that is told to stop tells the leader, which admits a waiting replica in its place, and stops once this is done, or after 2 s. Without a waiting replica it stops at once and keeps its place.

ReplacedMachineTest, 'a disk lost right after a planned replacement', failed before with the stop as it was.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaEvent.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaEvent.kt
@@ -62,6 +62,12 @@
         val bytes: ByteArray,
     ) : ReplicaEvent
 
+    /**
+     * The process is about to stop. A voter offers its place to a replica that waits to be admitted, if there is one,
+     * and [ReplicaState.handingOver] is true until that replica has it.
+     */
+    data object Leave : ReplicaEvent
+
     /** The process is shutting down: pending tickets are answered, later requests refused and other events ignored. */
     data object Stop : ReplicaEvent
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
@@ -25,7 +25,7 @@
     val maximumCommandBytes: Int = 512 * 1_024,
     /**
      * If set, the leader admits replicas whose names match no member until the group has this many voters. After that,
-     * it admits one only to replace a voter that has not answered for [lostVoterTimeout]. If null,
+     * it admits one only to replace a voter that has not answered for [lostVoterTimeout] or is about to stop. If null,
      * only operators can add members under new names.
      */
     val targetVoters: Int? = null,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
@@ -33,6 +33,9 @@
 
     /** Whether a group exists and this replica is not one of its members, as far as it knows. */
     val awaitsAdmission: Boolean
+
+    /** Whether this voter is about to stop and a replica that waits to be admitted does not have its place yet. */
+    val handingOver: Boolean
 }
 
 enum class ReplicaRole { UNADMITTED, FOLLOWER, CANDIDATE, LEADER }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Admissions.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Admissions.kt
@@ -4,7 +4,7 @@
  * learner
  * - if a member has its name: a new identity under the same name means that the member's disk was lost;
  * - if the group has fewer voters than its target;
- * - to replace a voter that has been silent.
+ * - to replace a voter that is about to stop, or has been silent.
  *
  * A new identity under the same name replaces the lost one in a single change. A voter that is silent or stops may be
  * alive. It is therefore replaced in two changes, of which the first adds the learner to the voters and the second
@@ -89,7 +89,7 @@
 
 private fun ReplicaStep.replaceableVoter(): ReplicaMember? =
     state.membership.voters.firstOrNull { voter ->
-        isSilent(voter.identity) &&
+        (isLeaving(voter.identity) || isSilent(voter.identity)) &&
             state.membership.learners.none { it.replaces == voter.identity }
     }
 
@@ -167,7 +167,7 @@
         state.membership.voters.any { it.identity == learner.replaces } && mayBeReplaced(learner.replaces)
     }
 
-private fun ReplicaStep.mayBeReplaced(identity: String) = !isAlive(identity)
+private fun ReplicaStep.mayBeReplaced(identity: String) = isLeaving(identity) || !isAlive(identity)
 
 /** Removes the voter whose replacement votes since the last change. */
 internal fun ReplicaStep.finishReplacement() {
@@ -205,5 +205,33 @@
     return target != null && voter.name != learner.member.name && !mayBeReplaced(voter.identity)
 }
 
+/** Starts to hand over the place of this voter. */
+internal fun ReplicaStep.leave() {
+    if (settings.targetVoters == null) return
+    state = state.copy(handOverRequested = true)
+    announceLeaving()
+}
+
+/** Tells the leader until it has replaced this voter, because the message or the leader may be lost. */
+internal fun ReplicaStep.announceLeaving() {
+    if (!state.handingOver) return
+    if (leading != null) return voterLeaves(state.self)
+    state.leader?.let { send(it, ReplicaMessage.Leaving) }
+}
+
+internal fun ReplicaStep.voterLeaves(voter: ReplicaMember) {
+    if (leading == null || state.membership.voters.none { it.identity == voter.identity }) return
+    if (!isLeaving(voter.identity)) {
+        logEvent(ConsensusEvent.VOTER_LEAVING, "name" to voter.name, "identity" to voter.identity)
+    }
+    state = state.copy(leaving = state.leaving.put(voter.identity, now))
+    admitWaitingReplica()
+}
+
+private fun ReplicaStep.isLeaving(identity: String): Boolean {
+    val announcedAt = state.leaving[identity] ?: return false
+    return now - announcedAt < settings.electionTimeoutMinimum
+}
+
 private const val MAXIMUM_WAITING = 32
 private const val WAITING_LIFETIME_INTERVALS = 3
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ConsensusEvent.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ConsensusEvent.kt
@@ -23,6 +23,7 @@
     TAIL_TRUNCATED(3011, Level.WARN, "unsynced tail of the log truncated"),
     REPLICA_WAITING(3012, Level.WARN, "a replica asks to join, but the group has all its voters"),
     ADMISSION_AWAITED(3013, Level.WARN, "a group exists, and this replica waits to be admitted"),
+    VOTER_LEAVING(3014, Level.INFO, "a voter is about to stop and offers its place"),
     LEARNER_RELEASED(3015, Level.INFO, "a learner was released because the voter that it was to replace is back"),
     FORMATION_WITHHELD(3016, Level.WARN, "this seed forms no group, because a group may exist"),
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
@@ -20,7 +20,8 @@
  *
  * [contacts] are members of the group that this replica has heard of, by address; it asks them to be admitted. [waiting]
  * are the replicas that asked this member to be admitted, by name and in the order in which they first asked.
- * [groupWitnesses] are the seeds that have stored that this group exists. [lastLeader] is the identity of the last leader that this replica followed.
+ * [groupWitnesses] are the seeds that have stored that this group exists. [leaving] holds the times at which voters said
+ * that they are about to stop, by identity. [lastLeader] is the identity of the last leader that this replica followed.
  */
 internal data class DefaultReplicaState(
     override val self: ReplicaMember,
@@ -50,6 +51,8 @@
     val waiting: PersistentMap<String, WaitingReplica> = persistentMapOf(),
     val groupWitnesses: PersistentSet<String> = persistentSetOf(),
     val lastLeader: String? = null,
+    val leaving: PersistentMap<String, Long> = persistentMapOf(),
+    val handOverRequested: Boolean = false,
     val stopped: Boolean = false,
 ) : ReplicaState {
     override val group: String? get() = vote.group
@@ -81,6 +84,14 @@
     override val waitingReplicas: List<ReplicaMember>
         get() = waiting.values.map { it.member }
 
+    override val handingOver: Boolean
+        get() =
+            handOverRequested && leader != null && membership.voters.any { it.identity == self.identity } &&
+                (
+                    waiting.keys.any { !membership.hasName(it) } ||
+                        membership.learners.any { it.replaces == self.identity }
+                )
+
     /**
      * A commit needs a majority in each of these memberships: the newest and, until the leader that appended it has
      * committed it, the previous one. A replacement swaps two identities in one step, so if the lost identity came
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -83,6 +83,7 @@
         is ReplicaEvent.ReplaceMember -> admit(event.ticket, event.member, event.oldIdentity)
         is ReplicaEvent.RemoveMember -> remove(event.ticket, event.identity)
         is ReplicaEvent.SnapshotCaptured -> receiveCapturedSnapshot(event)
+        is ReplicaEvent.Leave -> leave()
         is ReplicaEvent.Stop -> stop()
     }
 }
@@ -105,6 +106,7 @@
     expireRequests(now - settings.forwardTimeout)
     expireReads()
     expireWaiting()
+    announceLeaving()
     if (leading != null) return tickAsLeader()
     requestJoinWhenDue()
     formGroupWhenDue()
@@ -195,6 +197,7 @@
 ) {
     if (message is ReplicaMessage.ForwardedCommand) return receiveForwardedCommand(envelope, message)
     if (message is ReplicaMessage.ReadIndexRequest) return receiveReadRequest(envelope, message)
+    if (message is ReplicaMessage.Leaving) return voterLeaves(envelope.sender)
     if (envelope.term > state.term) return adoptTerm(envelope.term)
     when (message) {
         is ReplicaMessage.VoteAnswer -> receiveVoteAnswer(envelope, message)
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredGroup.kt
@@ -102,6 +102,15 @@
         return name
     }
 
+    /** Stops a machine as on SIGTERM. It may take a few seconds to hand over its place. */
+    fun stopForGood(name: String) {
+        val state = { group.replicas.getValue(name).state }
+        group.deliver(name, ReplicaEvent.Leave)
+        group.run(HAND_OVER_LIMIT_MILLISECONDS) { state()?.handingOver != true }
+        group.deliver(name, ReplicaEvent.Stop)
+        remove(name)
+    }
+
     /** Removes a machine without a warning. */
     fun remove(name: String) {
         group.remove(name)
@@ -110,5 +119,6 @@
     companion object {
         const val SEEDS = 3
         const val LOST_VOTER_MILLISECONDS = 1_400L
+        const val HAND_OVER_LIMIT_MILLISECONDS = 2_000L
     }
 }
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/ReplacedMachineTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/ReplacedMachineTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /**
@@ -13,6 +14,30 @@
     private val machines = DiscoveredGroup(seed = 11, machines = 3, tolerated = 1)
     private val group get() = machines.group
 
+    /**
+     * Fails if the places of the group follow only from silence: the removed machine then keeps its vote for seconds, and
+     * one lost disk in this time leaves one of three votes.
+     */
+    @Test
+    fun `a disk lost right after a planned replacement leaves the group a majority`() {
+        listOf("m1", "m2").forEach { removed ->
+            val machines = DiscoveredGroup(seed = 11, machines = 3, tolerated = 1)
+            machines.form()
+            machines.add()
+            machines.group.run(CATCH_UP)
+            machines.stopForGood(removed)
+            val other =
+                machines.group.voters
+                    .first { it.name != "m4" && it.name != removed }
+                    .name
+            machines.loseDisk(other)
+            machines.group.run(1_000)
+            machines.start(other)
+            assertTrue(machines.group.run(20_000, until = machines::isWhole), "$removed: ${machines.group.voters}")
+            assertProgress(machines)
+        }
+    }
+
     /** Fails if a machine that was replaced while it was frozen is kept out for good. */
     @Test
     fun `a machine that was replaced while it was frozen takes the next free place`() {
@@ -23,7 +48,7 @@
         group.replicas.getValue(frozen).stalledUntil = group.now + FREEZE
         group.run(FREEZE + 8_000)
         assertTrue(group.voters.any { it.name == successor }, "voters: ${group.voters}")
-        machines.remove("m1")
+        machines.stopForGood("m1")
         assertTrue(group.run(8_000, until = machines::isWhole), "voters: ${group.voters}")
         assertContains(group.voters.map { it.name }, frozen)
         val lost = machines.live.first { it != frozen && it != successor }
@@ -55,6 +80,21 @@
         }
     }
 
+    /** Fails if a restart without a successor changes the voters. */
+    @Test
+    fun `a machine that stops while none waits keeps its place`() {
+        machines.form()
+        val before = group.voters
+        group.deliver("m2", ReplicaEvent.Leave)
+        assertFalse(group.state("m2").handingOver)
+        group.deliver("m2", ReplicaEvent.Stop)
+        machines.crash("m2")
+        group.run(800)
+        machines.start("m2")
+        group.run(8_000)
+        assertEquals(before.toSet(), group.voters.toSet())
+    }
+
     /** Fails if operators cannot see a machine that asks in vain. */
     @Test
     fun `members name the machines that wait, and these say that they do`() {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -30,6 +30,9 @@
         val message: WireMessage,
     ) : ControlEffect
 
+    /** Another replica has the place of this one, or none waits for it. */
+    data object ReadyToStop : ControlEffect
+
     data class CloseLink(
         val link: Long,
     ) : ControlEffect
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
@@ -49,6 +49,9 @@
         val wallTime: Long,
     ) : ControlEvent
 
+    /** The process is about to stop. Answered by [ControlEffect.ReadyToStop] once no hand-over is in progress. */
+    data object Leave : ControlEvent
+
     data object Stop : ControlEvent
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
@@ -33,4 +33,5 @@
     REDUCER_FAILED(2071, Level.ERROR, "processing an event failed; the replica stops"),
     EFFECT_FAILED(2072, Level.ERROR, "an effect could not be carried out"),
     MESSAGE_REFUSED(2073, Level.WARN, "message type is not allowed for the role of its sender"),
+    HAND_OVER_UNFINISHED(2074, Level.WARN, "this replica stops although no other has taken its place yet"),
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -25,6 +25,8 @@
 import reactor.netty.DisposableServer
 import java.security.SecureRandom
 import java.util.UUID
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** Owns the threads, links and ports of one control replica. */
@@ -52,6 +54,7 @@
     private val metrics = ControlMetrics({ thread.state }, log::dropped)
     private val listReader = upstreams?.let { UpstreamListReader(it, thread::send, log) }
     private val closed = AtomicBoolean()
+    private val readyToStop = CountDownLatch(1)
     private val localOperators = LocalOperators { thread.send(it) }
     private var server: DisposableServer? = null
 
@@ -84,6 +87,7 @@
 
     override fun close() {
         if (!closed.compareAndSet(false, true)) return
+        handOver()
         thread.send(ControlEvent.Stop)
         thread.stop()
         storageThread.stop()
@@ -93,6 +97,15 @@
         log.record(ControlEventCode.STOPPED, "replica" to settings.name)
     }
 
+    /** If this machine is removed for good, a replica that waits for its place should not have to notice its silence. */
+    private fun handOver() {
+        if (!thread.running) return
+        thread.send(ControlEvent.Leave)
+        if (!readyToStop.await(HAND_OVER_LIMIT_MILLISECONDS, TimeUnit.MILLISECONDS)) {
+            log.record(ControlEventCode.HAND_OVER_UNFINISHED, "milliseconds" to HAND_OVER_LIMIT_MILLISECONDS)
+        }
+    }
+
     private fun controlThread(recovered: RecoveredReplica): ControlThread {
         val now = clock.now()
         val seed = SecureRandom().nextLong()
@@ -126,6 +139,7 @@
                     links.sendToLink(effect.link, effect.message)
                 }
             is ControlEffect.CloseLink -> links.closeLink(effect.link)
+            is ControlEffect.ReadyToStop -> readyToStop.countDown()
             is ControlEffect.PostOrder -> orders.post(effect)
             is ControlEffect.ReadUpstreamList -> listReader?.read(effect.askedAt)
             is ControlEffect.MeasureCommand -> metrics.measure(effect)
@@ -164,6 +178,9 @@
 
     private companion object {
         const val STALL_MILLISECONDS = 5_000L
+
+        // An election and two membership changes.
+        const val HAND_OVER_LIMIT_MILLISECONDS = 2_000L
     }
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -83,8 +83,15 @@
             state = state.copy(replica = transition.state)
             transition.effects.forEach(::carryOut)
         }
+        reportReadyToStop()
         return Transition(state, effects.toPersistentList())
     }
+
+    private fun reportReadyToStop() {
+        if (!state.leaving || state.replica.handingOver) return
+        state = state.copy(leaving = false)
+        emit(ControlEffect.ReadyToStop)
+    }
 }
 
 internal fun ControlStep.handle(event: ControlEvent) {
@@ -96,6 +103,7 @@
         is ControlEvent.OrderAnswered -> orderAnswered(event)
         is ControlEvent.UpstreamsListed -> upstreamsListed(event)
         is ControlEvent.Tick -> tick(event)
+        ControlEvent.Leave -> leave()
         ControlEvent.Stop -> stop()
     }
 }
@@ -116,6 +124,11 @@
     leaderDuties()
 }
 
+private fun ControlStep.leave() {
+    state = state.copy(leaving = true)
+    queueReplicaEvent(ReplicaEvent.Leave)
+}
+
 private fun ControlStep.stop() {
     state = state.copy(stopping = true)
     record(ControlEventCode.STOPPING, "term" to state.replica.term, "role" to state.replica.role)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlThread.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlThread.kt
@@ -34,6 +34,8 @@
     @Volatile var reducedAt: Long = clock.now()
         private set
 
+    val running: Boolean get() = thread.isAlive
+
     fun start() = thread.start()
 
     fun send(event: ControlEvent) {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -37,6 +37,7 @@
     val leaderContactAt: Long = startedAt,
     val orderAttempts: PersistentMap<String, OrderAttempt> = persistentMapOf(),
     val nextDutiesAt: Long = 0,
+    val leaving: Boolean = false,
     val stopping: Boolean = false,
     val upstreamList: UpstreamListState = UpstreamListState(),
     /**
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -30,6 +30,7 @@
     private val cut = HashSet<String>()
     private val queue = ArrayDeque<Pair<String, ControlEvent>>()
     val closedLinks = ArrayList<Long>()
+    val readyToStop = ArrayList<String>()
     val postedOrders = ArrayList<ControlEffect.PostOrder>()
     var now = 1_000L
         private set
@@ -168,6 +169,7 @@
             is ControlEffect.ReadUpstreamList -> node.readings += effect
             is ControlEffect.PostOrder -> postedOrders += effect
             is ControlEffect.CloseLink -> closedLinks += effect.link
+            is ControlEffect.ReadyToStop -> readyToStop += node.name
             is ControlEffect.MeasureCommand, is ControlEffect.Record -> Unit
         }
     }
--- a/control/src/test/kotlin/hawthorncrank/control/internal/WaitingReplicaTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/WaitingReplicaTest.kt
@@ -5,6 +5,8 @@
 import hawthorncrank.protocol.OperatorCommand
 import kotlin.test.Test
 import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
@@ -27,6 +29,37 @@
         assertContains(ControlMetrics({ group.state("control-4") }, { 0 }).scrape(), "control_awaits_admission 1.0")
     }
 
+    /** Fails if the removed machine keeps its vote until the others notice its silence. */
+    @Test
+    fun `a replica stops only when the waiting one has its place`() {
+        listOf<(VirtualGroup) -> String>(VirtualGroup::leader, VirtualGroup::follower).forEach { choose ->
+            val group =
+                VirtualGroup(
+                    size = 4,
+                    initialMembers = List(3) { "control-${it + 1}" },
+                    timeouts = ReplicaSettings(emptyList(), targetVoters = 3),
+                )
+            val leaving = choose(group)
+            group.deliver(leaving, ControlEvent.Leave)
+            assertFalse(leaving in group.readyToStop, "$leaving may stop before it has a successor")
+            group.run(3_000)
+            assertEquals(listOf(leaving), group.readyToStop)
+            val voters =
+                group
+                    .state("control-4")
+                    .replica.membership.voters
+                    .map { it.name }
+            assertEquals(listOf("control-1", "control-2", "control-3", "control-4") - leaving, voters.sorted())
+        }
+    }
+
+    @Test
+    fun `a replica may stop at once while none waits`() {
+        val group = VirtualGroup(size = 3, timeouts = ReplicaSettings(emptyList(), targetVoters = 3))
+        group.deliver("control-2", ControlEvent.Leave)
+        assertEquals(listOf("control-2"), group.readyToStop)
+    }
+
     private fun status(name: String): List<String> =
         assertIs<OperatorAnswer.Report>(group.execute(name, OperatorCommand.Status)).lines
 }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
@@ -149,6 +149,11 @@
     @SerialName("noted")
     data object GroupNoted : ReplicaMessage
 
+    /** A voter tells the leader that it is about to stop, so that a waiting replica can take its place before that. */
+    @Serializable
+    @SerialName("leaving")
+    data object Leaving : ReplicaMessage
+
     /** A follower passes a client's command to the leader. */
     @Serializable
     @SerialName("command")
