--- a/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -24,6 +24,9 @@
     /** Until this time the process handles no events. Messages and ticks that arrive are handled later, in order. */
     var stalledUntil = 0L
 
+    /** Until this time the disk refuses every write. The process ends at the first one and is started again. */
+    var diskFullUntil = 0L
+
     /** Until this time the replica handles messages and requests but receives no ticks. */
     var timerStalledUntil = 0L
 }
@@ -244,7 +247,7 @@
     ) {
         when (effect) {
             is ReplicaEffect.SendEnvelope -> transmit(replica, effect)
-            is ReplicaEffect.Persist -> replica.disk.write(effect)
+            is ReplicaEffect.Persist -> persist(replica, effect)
             is ReplicaEffect.ApplyRecords -> apply(replica, effect)
             is ReplicaEffect.AnswerTicket -> answer(effect)
             is ReplicaEffect.ReadConfirmed -> checker.readConfirmed(effect.ticket, replica.state!!.appliedIndex)
@@ -255,6 +258,19 @@
         }
     }
 
+    private fun persist(
+        replica: SimulatedReplica,
+        effect: ReplicaEffect.Persist,
+    ) {
+        if (replica.diskFullUntil <= now) return replica.disk.write(effect)
+        val incarnation = replica.incarnation
+        after(1) {
+            if (replica.incarnation != incarnation || replica.state == null) return@after
+            crash(replica.name)
+            after(RESTART_MILLISECONDS) { start(replica.name) }
+        }
+    }
+
     private fun answer(effect: ReplicaEffect.AnswerTicket) {
         if (effect.ticket <= 0) administrativeAnswers[effect.ticket] = effect.answer else checker.answered(effect)
     }
@@ -329,3 +345,4 @@
 ): SimulatedGroup = SimulatedGroup(seed = 17, names = names.toList(), spare = spare).also(SimulatedGroup::awaitHealthy)
 
 private const val TICK_MILLISECONDS = 100L
+private const val RESTART_MILLISECONDS = 1_000L
