--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/GroupNotices.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/GroupNotices.kt
@@ -41,7 +41,10 @@
     var contacts: PersistentMap<String, ReplicaMember> = state.contacts
     unknown.forEach { contacts = contacts.put(it.address, it) }
     while (contacts.size > MAXIMUM_CONTACTS) contacts = contacts.remove(contacts.keys.first())
-    state = state.copy(contacts = contacts, nextJoinRequestAt = now)
+    state = state.copy(contacts = contacts)
+    // Peers are asked at each interval anyway. A seed must not overtake the others at the first start.
+    val isNew = unknown.any { member -> settings.peers.none { it.address == member.address } }
+    if (isNew) state = state.copy(nextJoinRequestAt = now)
     if (state.vote.knowsNoGroup) persistVote(state.vote.copy(knowsNoGroup = false))
 }
 
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredGroup.kt
@@ -74,6 +74,20 @@
         assertTrue(group.run(60_000, until = ::isWhole), "no group of $target: ${group.voters}, groups $groups")
     }
 
+    /** Starts all machines for the first time within [milliseconds] of each other. The first seed forms the group. */
+    fun startWithin(milliseconds: Long) {
+        firstNames.forEach(group::crash)
+        firstNames.forEach { name ->
+            group.after(random.nextLong(milliseconds)) {
+                group.start(name)
+                if (name == firstNames.first()) {
+                    group.deliver(name, ReplicaEvent.FormGroup(0, listOf(group.member(name))))
+                }
+            }
+        }
+        assertTrue(group.run(60_000, until = ::isWhole), "no group of $target: ${group.voters}, groups $groups")
+    }
+
     fun isWhole(): Boolean = group.voters.size == target && group.isHealthy() && groups.size == 1
 
     fun crash(name: String) {
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/LostSeedsTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/LostSeedsTest.kt
@@ -53,6 +53,19 @@
         )
     }
 
+    /** Votes go to the machines in the order in which they ask, so each of the five others may be the one without a vote. */
+    @Test
+    fun `a seed remains without a vote as often as any other machine`() {
+        val outside =
+            (1L..200L).map { seed ->
+                val machines = DiscoveredGroup(seed, machines = 6, tolerated = 2)
+                machines.startWithin(1_500)
+                machines.outside.single()
+            }
+        val seeds = outside.count { it == "m2" || it == "m3" }
+        assertTrue(seeds in 50..110, "a seed had no vote in $seeds of ${outside.size} starts")
+    }
+
     private fun sixMachines(
         seed: Long,
         last: String,
