--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
@@ -1,6 +1,6 @@
 /*
- * Changes the membership through records that take effect when they are appended. Two majorities of
- * replicas that still have their disks, one before and one after a change, always have a replica in common.
+ * Changes the membership, one change at a time, through records that take effect when they are appended. Two majorities
+ * of replicas that still have their disks, one before and one after a change, always have a replica in common.
  */
 package hawthorncrank.consensus.internal
 
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredHistory.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredHistory.kt
@@ -5,8 +5,8 @@
 /**
  * Runs one history of a [DiscoveredGroup]: replacements, freezes, cuts, kills and lost disks in any order while commands are
  * proposed, then a phase without faults in which the group must recover. At most the tolerated number of machines is lost
- * at a time, where a machine counts as lost until [CATCH_UP] after it is back, and one that was replaced does not
- * count any more. In addition, all machines may be killed at once with their disks preserved.
+ * at a time, where a machine counts as lost until [CATCH_UP] after it is back, and one that was replaced with a
+ * warning does not count any more. In addition, all machines may be killed at once with their disks preserved.
  */
 internal class DiscoveredHistory(
     seed: Long,
