Log how long each attempt waited for its answer and what it produced

The log had one line for the start of an attempt and one for its failure, without the time until the answer began and without tokens. Whether a stream spent its time waiting, generating or after a move could not be told. Events 1545 and 1546 are new, 1541 to 1543 have more fields.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -95,6 +95,8 @@
         "upstream" to active.upstream,
         "priority" to priority,
         "in_flight" to active.upstream?.let(state.router.view::inFlight),
+        "pending_prefill" to active.upstream?.let(state.router.view::pendingPrefillTokens),
+        "token_interval" to active.upstream?.let(state.router.view::tokenInterval),
         "speed" to active.upstream?.let(state.router.view::speedFactor),
         "queued" to state.scheduler.view.queuedRequests,
         "waited" to now - active.arrivedAt,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -64,17 +64,8 @@
     val stillCurrent = active?.let { state.requests.active[it.number] }
     val stale = stillCurrent == null || currentAttempt(stillCurrent) != attemptNumber
     if (stillCurrent == null || stale && rules.staleAttemptsAreDiscarded) return measureWastedTokens(attempt, end)
+    recordAttemptEnd(attempt, end)
     if (end !is AttemptEnd.Completed) {
-        recordRequestEvent(
-            stillCurrent,
-            EntryDecisionEvent.ATTEMPT_FAILED,
-            "attempt" to attemptNumber,
-            "upstream" to attempt.upstream,
-            "end" to describe(end),
-            "after" to now - attempt.startedAt,
-            "began" to (attempt.firstByteAt != null),
-            "parts" to stillCurrent.request.sharedParts.joinToString(","),
-        )
         explain(stillCurrent.number, "lost attempt $attemptNumber on ${attempt.upstream}: ${describe(end)}")
     }
     val claim = stillCurrent.grantedClaim
@@ -100,6 +91,52 @@
         end is AttemptEnd.Misdirected ||
         end is AttemptEnd.TimedOut && end.phase == TimeoutPhase.CONNECT
 
+private fun Reduction.recordAttemptEnd(
+    attempt: RunningAttempt,
+    end: AttemptEnd,
+) {
+    if (end !is AttemptEnd.Completed) {
+        val parts =
+            state.requests.active[attempt.requestNumber]
+                ?.request
+                ?.sharedParts
+                .orEmpty()
+        return recordAttempt(
+            attempt,
+            EntryDecisionEvent.ATTEMPT_FAILED,
+            describe(end),
+            "parts" to parts.joinToString(","),
+        )
+    }
+    val routed =
+        state.requests.active[attempt.requestNumber]
+            ?.request
+            ?.retryPolicy != null
+    if (routed) recordAttempt(attempt.copy(tokens = end.tokens), EntryDecisionEvent.ATTEMPT_COMPLETED, describe(end))
+}
+
+/** Logs how long the attempt waited for its answer to begin and what it produced until now. */
+private fun Reduction.recordAttempt(
+    attempt: RunningAttempt,
+    event: EntryDecisionEvent,
+    end: String,
+    vararg fields: Pair<String, Any?>,
+) {
+    val active = state.requests.active[attempt.requestNumber] ?: return
+    recordRequestEvent(
+        active,
+        event,
+        "attempt" to attempt.number,
+        "upstream" to attempt.upstream,
+        "end" to end,
+        "after" to now - attempt.startedAt,
+        "began" to (attempt.firstByteAt != null),
+        "first_byte_after" to attempt.firstByteAt?.let { it - attempt.startedAt },
+        "tokens" to attempt.tokens,
+        *fields,
+    )
+}
+
 private fun describe(end: AttemptEnd): String =
     when (end) {
         is AttemptEnd.Completed -> "it answered with status ${end.status}"
@@ -180,6 +217,7 @@
     val attempt = state.attempts.running[attemptNumber] ?: return
     if (attempt.cancelled != null) return
     updateAttempt(attempt.copy(cancelled = Cancellation(reason, now)))
+    recordAttempt(attempt, EntryDecisionEvent.ATTEMPT_CANCELLED, reason.name.lowercase())
     if (routed) state = state.copy(router = state.router.attemptEnded(attempt.requestNumber, attempt.bytes))
     emit(EntryEffect.CancelAttempt(attemptNumber, reason))
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
@@ -38,6 +38,8 @@
     REQUEST_ENDED(1542, Level.INFO, "a request ended"),
     ATTEMPT_STARTED(1543, Level.INFO, "an attempt was sent to an upstream"),
     MACHINE_SUSPENDED(1544, Level.WARN, "the machine was suspended, or its time of day was set forward"),
+    ATTEMPT_COMPLETED(1545, Level.INFO, "an attempt ended with a complete answer"),
+    ATTEMPT_CANCELLED(1546, Level.INFO, "an attempt was cancelled"),
     STOP_REQUESTED(1550, Level.INFO, "the entry is stopping and finishes the requests in progress"),
     STOP_FINISHED(1551, Level.INFO, "no request is in flight and the entry terminates"),
     STOP_LEFT_RECORDS(1552, Level.ERROR, "the entry terminates with claim records that control has not acknowledged"),
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.entry.core.Measurement
 import hawthorncrank.entry.core.Refusal
 import hawthorncrank.entry.core.RequestResult
+import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.protocol.TrafficClass
 
 /** Refuses a new request, queues it, or first requests the claim that it needs. */
@@ -170,6 +171,8 @@
         "organisation" to request.organisation,
         "class" to request.className,
         "target" to request.target.label,
+        "prompt_tokens" to (request.target as? RequestTarget.Model)?.promptTokens,
+        "maximum_tokens" to (request.target as? RequestTarget.Model)?.maximumTokens,
         "result" to result.name.lowercase(),
         "reason" to active.reason,
         "upstream" to active.upstream,
--- a/routing/src/main/kotlin/hawthorncrank/routing/RouterView.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RouterView.kt
@@ -4,6 +4,12 @@
 interface RouterView {
     fun inFlight(upstream: String): Int
 
+    /** The prompt tokens of this entry's attempts that the upstream has not prefilled yet. */
+    fun pendingPrefillTokens(upstream: String): Int
+
+    /** The time between tokens of this entry's attempts on the upstream that was seen last, in milliseconds. */
+    fun tokenInterval(upstream: String): Double?
+
     /** The fraction of its normal work that the upstream gets now: 1.0, or less while it is slow or recovering. */
     fun speedFactor(upstream: String): Double
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -345,6 +345,10 @@
 ) : RouterView {
     override fun inFlight(upstream: String): Int = state.upstreams[upstream]?.ownAttempts ?: 0
 
+    override fun pendingPrefillTokens(upstream: String): Int = state.upstreams[upstream]?.pendingPrefillTokens ?: 0
+
+    override fun tokenInterval(upstream: String): Double? = state.upstreams[upstream]?.speed?.interval
+
     override fun speedFactor(upstream: String): Double = state.upstreams[upstream]?.let(state::speedFactor) ?: 1.0
 
     override fun share(
