Replay overloads in virtual time, and show that the longest answers are cut off

PromptLoadTest draws the same streams from the same seeds as before; its loads and the drawing have files of their own now.

--- /dev/null
+++ b/routing/src/test/kotlin/hawthorncrank/routing/OverloadRun.kt
@@ -0,0 +1,300 @@
+package hawthorncrank.routing
+
+import hawthorncrank.common.Milliseconds
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.Organisation
+import hawthorncrank.protocol.TrafficClass
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.UpstreamKind
+import hawthorncrank.scheduling.DispatchDecision
+import hawthorncrank.scheduling.OfferOutcome
+import hawthorncrank.scheduling.QueuedWork
+import hawthorncrank.scheduling.SchedulingPolicy
+import hawthorncrank.scheduling.WorkTarget
+import hawthorncrank.scheduling.scheduler
+import java.util.PriorityQueue
+import java.util.SplittableRandom
+import kotlin.math.ln
+
+/** [share] of the engines crash [at] a time in milliseconds and start again after [down]. */
+internal class EngineCrash(
+    val at: Double,
+    val share: Double,
+    val down: Double,
+)
+
+/**
+ * Replays [factor] times the load for 30 s in virtual time on entries that do not see each other's requests. Callers leave at
+ * their deadline or after a long pause, and come back once after a refusal. Streams that a crash breaks off are not counted.
+ */
+internal class OverloadRun(
+    private val load: PromptLoad,
+    private val factor: Double,
+    private val crashes: List<EngineCrash>,
+    private val seed: Long,
+) {
+    private val random = SplittableRandom(seed)
+    private val source = StreamSource(load, random)
+    private val upstreams =
+        load.engines.zones.flatMapIndexed { zone, count ->
+            (1..count).map { upstream("engine-$zone-$it", "zone-$zone") }
+        }
+    private val engines = upstreams.associate { it.name to SimulatedFullEngine(load.engines) }
+    private val entries = List(load.engines.zones.size * load.entriesPerZone) { SimulatedEntry(it) }
+    private val events = PriorityQueue<Triple<Double, Long, () -> Unit>>(compareBy({ it.first }, { it.second }))
+    private var eventNumber = 0L
+    private val stepping = HashSet<String>()
+    private val down = HashSet<String>()
+    private val callers = ArrayList<OverloadCaller>()
+    private var now = 0.0
+
+    fun run(): List<OverloadCaller> {
+        load.kinds.forEach { scheduleArrival(it, number = 1) }
+        crashes.forEach { crash -> at(crash.at) { crashEngines(crash) } }
+        tick()
+        while (events.isNotEmpty() && events.peek().first < DURATION + LAST_ANSWERS) {
+            val (at, _, action) = events.poll()
+            now = at
+            action()
+        }
+        return callers.filterNot { it.brokenOff }
+    }
+
+    private fun at(
+        time: Double,
+        action: () -> Unit,
+    ) {
+        events += Triple(time, eventNumber++, action)
+    }
+
+    private fun scheduleArrival(
+        kind: StreamKind,
+        number: Long,
+    ) {
+        val rate = kind.perSecond * if (now < BURST_END) factor else 1.0
+        at(now - ln(1 - random.nextDouble()) / rate * 1_000) {
+            if (now < DURATION) {
+                scheduleArrival(kind, number + 1)
+                val stream = source.draw(kind, number, random.nextInt(entries.size), now)
+                val caller = OverloadCaller(stream, load.engines.tokensPerEvent)
+                callers += caller
+                entries[stream.entry].arrive(caller)
+            }
+        }
+    }
+
+    private fun tick() {
+        entries.forEach { it.tick() }
+        at(now + TICK) { tick() }
+    }
+
+    private fun crashEngines(crash: EngineCrash) {
+        val count = (engines.size * crash.share + 0.5).toInt()
+        val names = engines.keys.sortedBy { SplittableRandom(it.hashCode() + crash.at.toLong()).nextLong() }.take(count)
+        names.forEach { name ->
+            down += name
+            engines.getValue(name).crash()
+            entries.forEach { it.crashed(name) }
+        }
+        at(now + crash.down) {
+            down -= names.toSet()
+            names.forEach { name -> entries.forEach { it.returned(name) } }
+        }
+    }
+
+    private fun step(name: String) {
+        val engine = engines.getValue(name)
+        if (name in down || engine.idle || !stepping.add(name)) return
+        val step = engine.step(now)
+        at(now + step.milliseconds) {
+            stepping -= name
+            step.events.forEach { entries[it.entry].produced(it) }
+            step.ended.forEach { entries[it.entry].ended(it) }
+            step(name)
+        }
+    }
+
+    /** One entry with its scheduler and its router. A caller that comes back arrives at any entry. */
+    private inner class SimulatedEntry(
+        private val index: Int,
+    ) {
+        private var scheduler = scheduler(configuration(), SchedulingPolicy(preemption = false, floor = false))
+        private var router =
+            router(
+                configuration(),
+                RouterLocation("zone-${zoneOf(index)}", "zone-${zoneOf(index)}"),
+                load.entriesPerZone,
+                seed + index,
+                RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
+            )
+        private val active = HashMap<Long, OverloadCaller>()
+
+        fun arrive(caller: OverloadCaller) {
+            caller.offeredAt = now
+            active[caller.stream.number] = caller
+            val outcome = scheduler.offer(work(caller), now.toLong())
+            scheduler = outcome.scheduler
+            if (outcome is OfferOutcome.Refused) refused(caller, outcome.retryAfterMilliseconds)
+            dispatch()
+        }
+
+        fun tick() {
+            active.values.filter { it.leavesBy(now) }.forEach(::leave)
+            dispatch()
+        }
+
+        fun produced(stream: SimulatedStream) {
+            val caller = active[stream.number] ?: return
+            val events = stream.tokens / load.engines.tokensPerEvent
+            caller.lastEventAt = now
+            if (events == 1) router = router.firstTokenReceived(stream.number, now.toLong())
+            if (now - caller.progressAt < PROGRESS_INTERVAL) return
+            caller.progressAt = now
+            router = router.attemptProgress(stream.number, events, now.toLong())
+            scheduler = scheduler.progress(stream.number, events, answerStarted = true, now.toLong())
+        }
+
+        fun ended(stream: SimulatedStream) {
+            val caller = active.remove(stream.number) ?: return
+            caller.served = true
+            val events = stream.tokens / load.engines.tokensPerEvent
+            router = router.attemptEnded(stream.number)
+            scheduler = scheduler.finished(stream.number, events, complete = true, now.toLong())
+            dispatch()
+        }
+
+        fun crashed(name: String) {
+            router = router.setEligible(name, false)
+            active.values.filter { it.engine == name }.forEach { caller ->
+                caller.brokenOff = true
+                end(caller)
+            }
+        }
+
+        fun returned(name: String) {
+            router = router.setEligible(name, true)
+        }
+
+        private fun leave(caller: OverloadCaller) {
+            caller.engine?.let { engines.getValue(it).cancel(caller.stream) }
+            end(caller)
+        }
+
+        private fun end(caller: OverloadCaller) {
+            val number = caller.stream.number
+            active -= number
+            router = router.attemptEnded(number)
+            scheduler =
+                if (caller.engine == null) {
+                    scheduler.remove(number)
+                } else {
+                    val events = caller.stream.tokens / load.engines.tokensPerEvent
+                    scheduler.finished(number, events, complete = false, now.toLong())
+                }
+        }
+
+        private fun refused(
+            caller: OverloadCaller,
+            retryAfter: Long,
+        ) {
+            active -= caller.stream.number
+            if (caller.returned) return
+            caller.returned = true
+            val pause = minOf(retryAfter.toDouble(), (caller.deadline - now) / PATIENCE)
+            val stream = caller.stream.at(random.nextInt(entries.size))
+            caller.stream = stream
+            at(now + pause) { entries[stream.entry].arrive(caller) }
+        }
+
+        private fun dispatch() {
+            val result = scheduler.dispatch(now.toLong(), router, routerPlacement(now.toLong()))
+            scheduler = result.scheduler
+            router = result.routing
+            result.decisions.forEach { decision ->
+                val caller = active.getValue(decision.work.requestNumber)
+                when (decision) {
+                    is DispatchDecision.Start -> start(caller, decision.upstream)
+                    is DispatchDecision.Refuse -> refused(caller, decision.retryAfterMilliseconds)
+                    is DispatchDecision.Preempt -> error("preemption is off")
+                }
+            }
+        }
+
+        private fun start(
+            caller: OverloadCaller,
+            name: String,
+        ) {
+            caller.engine = name
+            val delay = if (name.startsWith("engine-${zoneOf(index)}-")) 0.0 else ONE_WAY_TO_OTHER_REGION
+            at(now + delay) {
+                if (active[caller.stream.number] === caller && name !in down) {
+                    engines.getValue(name).submit(caller.stream)
+                    step(name)
+                }
+            }
+        }
+
+        private fun work(caller: OverloadCaller): QueuedWork {
+            val stream = caller.stream
+            return QueuedWork(
+                stream.number,
+                "organisation",
+                stream.kind.name,
+                1,
+                WorkTarget.Model("model"),
+                arrival = now.toLong(),
+                finishBy = caller.deadline.toLong(),
+                promptTokens = stream.kind.sharedTokens + stream.kind.ownTokens,
+                maximumTokens = null,
+                bodyBytes = 100,
+                prefixBlocks = listOf(stream.part, -stream.number),
+                idempotent = true,
+                sharedTokens = stream.kind.sharedTokens,
+            )
+        }
+    }
+
+    private fun zoneOf(entry: Int) = entry / load.entriesPerZone
+
+    private fun configuration(): Configuration {
+        val classes =
+            load.kinds.map {
+                TrafficClass(
+                    it.name,
+                    1,
+                    Milliseconds(it.firstEvent),
+                    Milliseconds(it.pause),
+                    Milliseconds(it.deadline),
+                )
+            }
+        val organisation =
+            Organisation(
+                "organisation",
+                "region",
+                classes.map { it.name },
+                emptyList(),
+                NO_LIMIT,
+                NO_LIMIT,
+                NO_LIMIT,
+            )
+        return Configuration(classes = classes, organisations = listOf(organisation), upstreams = upstreams)
+    }
+
+    private fun upstream(
+        name: String,
+        zone: String,
+    ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, listOf("model"), slots = load.engines.slots)
+
+    private companion object {
+        const val DURATION = 40_000.0
+        const val BURST_END = 30_000.0
+        const val LAST_ANSWERS = 20_000.0
+        const val TICK = 100.0
+        const val ONE_WAY_TO_OTHER_REGION = 20.0
+        const val PROGRESS_INTERVAL = 250.0
+        const val NO_LIMIT = 1_000_000
+
+        /** Callers wait for a third of the time that they have left at most. */
+        const val PATIENCE = 3
+    }
+}
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
@@ -9,9 +9,27 @@
     val prefillSpeed: Double,
     val tokensPerEvent: Int,
     val keptTokens: Int,
-)
+) {
+    /** The duration of a step in which [running] streams get a token each. */
+    fun stepWith(running: Int): Double = step + running * step * SLOWDOWN_WHEN_FULL / slots
 
-/** A class of streams: its prompt, its answer, its targets in milliseconds and its requests a second over all zones. */
+    /** The time that the prefill of [tokens] adds to a step. It grows with the tokens of the prompt [before] them. */
+    fun prefill(
+        tokens: Int,
+        before: Int,
+    ): Double = tokens / prefillSpeed * (1 + before / TOKENS_THAT_DOUBLE_A_CHUNK)
+
+    companion object {
+        const val CHUNK_TOKENS = 2_048
+        private const val SLOWDOWN_WHEN_FULL = 1.5
+        private const val TOKENS_THAT_DOUBLE_A_CHUNK = 25_000.0
+    }
+}
+
+/**
+ * A class of streams: its prompt, its answer, its targets and deadline in milliseconds and its requests a second over all
+ * zones. Engines admit the prompts of an [engineClass] with a lower number first.
+ */
 internal data class StreamKind(
     val name: String,
     val sharedTokens: Int,
@@ -20,12 +38,15 @@
     val firstEvent: Long,
     val pause: Long,
     val perSecond: Double,
+    val deadline: Long = 15_000,
+    val engineClass: Int = 0,
 )
 
 /**
  * The load of a deployment: its engines, its streams and the entries of each zone. Each kind of stream has a second class
  * with the same targets, to which [rareTierShare] of its streams belong. Shared parts differ in size by
- * [partSizeDeviation], the standard deviation of their logarithm.
+ * [partSizeDeviation], the standard deviation of their logarithm. The longest answers have [longestAnswer] times the events
+ * of the average, and each class has [sharedParts] shared parts.
  */
 internal data class PromptLoad(
     val engines: EngineSheet,
@@ -33,6 +54,8 @@
     val entriesPerZone: Int,
     val rareTierShare: Double = 0.05,
     val partSizeDeviation: Double = 0.5,
+    val longestAnswer: Double = 5.0,
+    val sharedParts: Int = 12,
 ) {
     /** The same load with [factor] times the requests of one class, or of all. */
     fun times(
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
@@ -10,7 +10,6 @@
 import hawthorncrank.scheduling.WorkTarget
 import java.util.PriorityQueue
 import java.util.SplittableRandom
-import kotlin.math.exp
 import kotlin.math.ln
 
 /** Replays a load in virtual time on entries that do not see each other's requests. */
@@ -19,6 +18,7 @@
     private val seed: Long,
 ) {
     private val random = SplittableRandom(seed)
+    private val source = StreamSource(load, random)
     private val upstreams =
         load.engines.zones.flatMapIndexed {
             zone,
@@ -66,37 +66,12 @@
         kind: StreamKind,
         number: Long,
     ) {
-        val kindNumber = load.kinds.indexOf(kind).toLong()
         val entry = random.nextInt(routers.size)
-        val part = kindNumber * 1_000 + random.nextInt(SHARED_PARTS)
-        val drawn =
-            kind.copy(
-                sharedTokens = sharedTokens(kind, part),
-                ownTokens = vary(kind.ownTokens),
-                events = vary(kind.events),
-            )
-        val rare = random.nextDouble() < load.rareTierShare
-        val stream = SimulatedStream(number * load.kinds.size + kindNumber, drawn, entry, part, now, rare)
+        val stream = source.draw(kind, number, entry, now)
         measured += stream
         place(stream)
     }
 
-    private fun sharedTokens(
-        kind: StreamKind,
-        part: Long,
-    ): Int = vary(kind.sharedTokens, load.partSizeDeviation, SplittableRandom(part))
-
-    /** Sizes differ from request to request: few are several times the average. */
-    private fun vary(
-        mean: Int,
-        deviation: Double = SIZE_DEVIATION,
-        source: SplittableRandom = random,
-    ): Int =
-        (mean * exp(deviation * source.nextGaussian() - deviation * deviation / 2))
-            .coerceIn(mean * SMALLEST, mean * LARGEST)
-            .toInt()
-            .coerceAtLeast(1)
-
     private fun place(stream: SimulatedStream) {
         val work = work(stream)
         val question = RoutingQuestion(work, 1, CapacityKind.SHARED)
@@ -204,9 +179,5 @@
         const val ONE_WAY_TO_OTHER_REGION = 20.0
         const val RETRY_INTERVAL = 20.0
         const val PROGRESS_INTERVAL = 250.0
-        const val SHARED_PARTS = 12
-        const val SIZE_DEVIATION = 0.7
-        const val SMALLEST = 0.1
-        const val LARGEST = 5.0
     }
 }
--- a/routing/src/test/kotlin/hawthorncrank/routing/SimulatedBatchEngine.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/SimulatedBatchEngine.kt
@@ -15,6 +15,25 @@
     var firstEventAfter: Double? = null
     var longestPause = 0.0
 
+    /** Counts a token that was generated at a time. Returns whether it completed an event of [tokensPerEvent] tokens. */
+    fun produceToken(
+        at: Double,
+        tokensPerEvent: Int,
+    ): Boolean {
+        tokens++
+        if (tokens % tokensPerEvent != 0) return false
+        if (firstEventAfter == null) {
+            firstEventAfter = at - arrivedAt
+        } else {
+            longestPause = maxOf(longestPause, at - lastEventAt)
+        }
+        lastEventAt = at
+        return true
+    }
+
+    /** The same stream at another entry, with nothing generated. */
+    fun at(entry: Int) = SimulatedStream(number, kind, entry, part, arrivedAt, ofRareTier)
+
     val onTime: Boolean
         get() = (firstEventAfter ?: Double.MAX_VALUE) <= kind.firstEvent && longestPause <= kind.pause
 }
@@ -41,14 +60,14 @@
 
     /** Runs one step that begins at [now], and returns its duration and the streams that made an event or ended. */
     fun step(now: Double): SimulatedStep {
-        var chunk = CHUNK_TOKENS
-        var milliseconds = sheet.step + running.size * sheet.step * SLOWDOWN_WHEN_FULL / sheet.slots
+        var chunk = EngineSheet.CHUNK_TOKENS
+        var milliseconds = sheet.stepWith(running.size)
         val begun = ArrayList<SimulatedStream>()
         while (chunk > 0 && prefilling.isNotEmpty() && running.size + begun.size < sheet.slots) {
             val stream = prefilling.first()
             val tokens = minOf(chunk, stream.prefillLeft)
             val before = stream.kind.sharedTokens + stream.kind.ownTokens - stream.prefillLeft
-            milliseconds += tokens / sheet.prefillSpeed * (1 + before / TOKENS_THAT_DOUBLE_A_CHUNK)
+            milliseconds += sheet.prefill(tokens, before)
             stream.prefillLeft -= tokens
             chunk -= tokens
             if (stream.prefillLeft > 0) break
@@ -56,32 +75,11 @@
         }
         val end = now + milliseconds
         running += begun
-        val events = running.filter { produceToken(it, end) }
+        val events = running.filter { it.produceToken(end, sheet.tokensPerEvent) }
         val ended = running.filter { it.tokens >= it.kind.events * sheet.tokensPerEvent }
         running -= ended.toSet()
         return SimulatedStep(milliseconds, events, ended)
     }
-
-    private fun produceToken(
-        stream: SimulatedStream,
-        at: Double,
-    ): Boolean {
-        stream.tokens++
-        if (stream.tokens % sheet.tokensPerEvent != 0) return false
-        if (stream.firstEventAfter == null) {
-            stream.firstEventAfter = at - stream.arrivedAt
-        } else {
-            stream.longestPause = maxOf(stream.longestPause, at - stream.lastEventAt)
-        }
-        stream.lastEventAt = at
-        return true
-    }
-
-    private companion object {
-        const val CHUNK_TOKENS = 2_048
-        const val SLOWDOWN_WHEN_FULL = 1.5
-        const val TOKENS_THAT_DOUBLE_A_CHUNK = 25_000.0
-    }
 }
 
 internal class SimulatedStep(
