Count answers that were cut off in the length estimates

Lengths were learned from complete answers only. An answer that was cut off now counts as long as the median of longer ones, or twice its length if there are none, which is what a running stream is expected to take.

--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/LengthEstimates.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/LengthEstimates.kt
@@ -17,6 +17,18 @@
             organisations.put(member, (organisations[member] ?: LengthSketch.EMPTY).add(tokens)),
         )
 
+    /**
+     * Counts an answer that was cut off after [produced] tokens. Without those, estimates would forget the longest answers
+     * just when many of them are cut off. It counts as the median of the longer answers, or twice its length if there are none.
+     */
+    fun addCutOff(
+        member: ClassMember,
+        produced: Int,
+    ): LengthEstimates {
+        if (produced == 0) return this
+        return add(member, sketch(member)?.quantileAbove(produced, MEDIAN) ?: (2 * produced))
+    }
+
     fun quantile(
         member: ClassMember,
         quantile: Double,
@@ -48,6 +60,7 @@
     private companion object {
         /** With fewer samples of its own, an organisation is predicted better by the samples of its class. */
         const val OWN_SAMPLES = 16
+        const val MEDIAN = 0.5
     }
 }
 
--- a/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/TieredScheduler.kt
+++ b/scheduling/src/main/kotlin/hawthorncrank/scheduling/internal/TieredScheduler.kt
@@ -43,7 +43,8 @@
             return TieredScheduler(state.dequeue(work).release(work.organisation, null))
         }
         val running = state.inFlight[requestNumber] ?: return this
-        return TieredScheduler(state.stop(running, running.tokens + 1).release(running.work.organisation, null))
+        val stopped = state.stop(running, running.tokens + 1).release(running.work.organisation, null)
+        return TieredScheduler(stopped.learnCutOff(running, running.tokens))
     }
 
     override fun expire(now: Long): Expiry {
@@ -83,7 +84,7 @@
                 .chargeTokenLimit(running.work, (tokens - running.tokens).coerceAtLeast(0), now)
                 .stop(running, tokens + 1)
                 .release(running.work.organisation, now)
-        if (!complete) return TieredScheduler(settled)
+        if (!complete) return TieredScheduler(settled.learnCutOff(running, tokens))
         val estimates = settled.estimates.add(SchedulerState.classMember(running.work), tokens)
         return TieredScheduler(settled.copy(estimates = estimates))
     }
@@ -117,6 +118,11 @@
         }
 }
 
+private fun SchedulerState.learnCutOff(
+    running: InFlightWork,
+    tokens: Int,
+): SchedulerState = copy(estimates = estimates.addCutOff(SchedulerState.classMember(running.work), tokens))
+
 /**
  * The state under another configuration. Requests of classes and organisations that are no longer in the configuration
  * stay queued or in flight; those of a removed class run at the lowest tier.
