Hold prompts for engines that are too slow for the longest answers

Cause: entries started a request whenever an engine's batch had a place. An engine prefills waiting prompts between the tokens of running streams, and with 20 to 50 prompts in its queue it never stopped: an event took 100 ms instead of 25 ms on all engines, also on those kept for short prompts, so answers of more than 130 events could not end in 15 s. Nearly nothing was refused, because rule R6 asks whether a request can still begin.

Now a prompt waits at the entry while its engine generates more slowly than the longest likely answers of running streams need, or has not begun within the target with an earlier prompt as urgent. Less urgent classes are held first, sizes within a class alike, and an engine may always spend half of its time on prompts.

--- a/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
@@ -90,7 +90,10 @@
     val tokenIntervalMilliseconds: Double?,
 )
 
-/** A started attempt. [suspect] marks a request that may crash its engine, which then gets no other suspect. */
+/**
+ * A started attempt. [suspect] marks a request that may crash its engine, which then gets no other suspect. Nearly all answers
+ * of its class or organisation stay below [likelyMaximumTokens].
+ */
 data class RoutedAttempt(
     val number: Long,
     val upstream: String,
@@ -98,6 +101,7 @@
     val tier: Int,
     val capacity: CapacityKind,
     val suspect: Boolean = false,
+    val likelyMaximumTokens: Int? = null,
 )
 
 /**
@@ -136,6 +140,9 @@
     /** The target has eligible upstreams, but none meets the constraint of the question. */
     data object ConstraintUnmet : RoutingAnswer
 
+    /** The engine for this prompt is busy with others. Requests with another prompt might be placed. */
+    data object Held : RoutingAnswer
+
     /** No upstream of the target is eligible. */
     data object NoUpstream : RoutingAnswer
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/RouterPlacement.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RouterPlacement.kt
@@ -44,11 +44,12 @@
                     question.tier,
                     question.capacity,
                     constraint.isolated,
+                    question.likelyMaximumTokens,
                 )
             val started = answer.router.attemptStarted(attempt, now)
             PlacementAnswer.Placed(answer.upstream, answer.overcommitted, started)
         }
-        RoutingAnswer.ConstraintUnmet -> PlacementAnswer.RequestNotPlaceable
+        RoutingAnswer.ConstraintUnmet, RoutingAnswer.Held -> PlacementAnswer.RequestNotPlaceable
         RoutingAnswer.NoRoom, RoutingAnswer.NoUpstream -> PlacementAnswer.NoRoom
     }
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/ClassLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/ClassLoad.kt
@@ -17,6 +17,8 @@
             prefillTokens.plus(prefill.toDouble(), now),
         )
 
+    fun prefilled(now: Long): Double = prefillTokens.value(now)
+
     fun averagePrompt(now: Long): Double = promptTokens.value(now) / requests.value(now)
 
     /** The time that engines need for these attempts, in milliseconds. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -33,12 +33,12 @@
     private val groups = load.groups(state.streamTargets, now)
     private val isLong = groups.isLong(streamTargets, work.promptTokens)
     private val isKept = !isLong && streamTargets in groups.kept
-    private val target = (streamTargets.firstToken ?: DEFAULT_TARGET_MILLISECONDS).toDouble()
+    private val target = streamTargets.firstTokenOrDefault.toDouble()
     private val shortestTarget: Long =
         state.streamTargets
             .filter { it.betweenTokens != null }
             .mapNotNull { it.firstToken }
-            .minOrNull() ?: DEFAULT_TARGET_MILLISECONDS
+            .minOrNull() ?: StreamTargets.DEFAULT_TARGET_MILLISECONDS
     private val preferred = preferredEngine()
     private val overdue: Map<String, Double> by lazy(LazyThreadSafetyMode.NONE, ::overdueAttempts)
 
@@ -117,8 +117,6 @@
     }
 
     companion object {
-        const val DEFAULT_TARGET_MILLISECONDS = 500L
-
         /** The share of its target that a request accepts to avoid pauses in its own answer. */
         const val PAUSES_PENALTY = 0.5
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -179,7 +179,9 @@
         if (produced < 1 || elapsed < 1) return this
         val next = copy(attempts = attempts.put(attemptNumber, running.copy(tokens = tokens, tokensAt = now)))
         if (running.tokens == 0) return next
-        return next.observeInterval(running.attempt.upstream, elapsed.toDouble() / produced, now)
+        return next
+            .observePace(running.attempt, elapsed, produced, now)
+            .observeInterval(running.attempt.upstream, elapsed.toDouble() / produced, now)
     }
 
     override fun attemptEnded(
@@ -228,6 +230,22 @@
     fun prefixMatches(work: QueuedWork): Map<String, Double> =
         if (policy.prefixAffinity) prefixes.matches(work.prefixBlocks) { upstreams[it]?.cache } else emptyMap()
 
+    private fun observePace(
+        attempt: RoutedAttempt,
+        elapsed: Long,
+        produced: Int,
+        now: Long,
+    ): RouterState {
+        val state = upstreams[attempt.upstream] ?: return this
+        val pace = state.pace.observe(elapsed, produced, now)
+        val load = loads[attempt.work.target] ?: TargetLoad()
+        val fastest = load.fastestPace.observe(elapsed.toDouble() / produced, now)
+        return copy(
+            upstreams = upstreams.put(attempt.upstream, state.copy(pace = pace)),
+            loads = loads.put(attempt.work.target, load.copy(fastestPace = fastest)),
+        )
+    }
+
     private fun observeInterval(
         upstream: String,
         interval: Double,
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/StreamTargets.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/StreamTargets.kt
@@ -13,7 +13,12 @@
     val pause: Long
         get() = betweenTokens ?: Long.MAX_VALUE
 
+    val firstTokenOrDefault: Long
+        get() = firstToken ?: DEFAULT_TARGET_MILLISECONDS
+
     companion object {
+        const val DEFAULT_TARGET_MILLISECONDS = 500L
+
         fun of(trafficClass: TrafficClass?) =
             StreamTargets(trafficClass?.firstToken?.value, trafficClass?.betweenTokens?.value)
     }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TargetLoad.kt
@@ -12,7 +12,18 @@
     val speed: PrefillSpeed = PrefillSpeed(),
     val classes: PersistentMap<StreamTargets, ClassLoad> = persistentHashMapOf(),
     val shortShare: Double = INITIAL_SHARE,
+    val fastestPace: FastestPace = FastestPace(),
 ) {
+    /** The share of recent prefill that was for the given classes. */
+    fun prefillShare(
+        now: Long,
+        isCounted: (StreamTargets) -> Boolean,
+    ): Double {
+        val all = classes.values.sumOf { it.prefilled(now) }
+        val counted = classes.filterKeys(isCounted).values.sumOf { it.prefilled(now) }
+        return if (all > 0) counted / all else 0.0
+    }
+
     /**
      * Groups the classes of the target. Those whose prompts are usually long are not kept apart. Until enough prompts were
      * seen, classes with long pauses are taken for those.
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
@@ -92,18 +92,23 @@
     }
 
     /**
-     * Compares all engines of the target, because an engine that has already processed the prompt may be worth the
-     * distance.
+     * Compares all engines of the target, because an engine that has already processed the prompt may be worth the distance
+     * and worth waiting for.
      */
     private fun leastDelay(names: List<String>): RoutingAnswer? {
         val delays = PromptDelays(state, work, now, matches)
+        val holds = PromptHolds(state, work, now)
         val free = names.filter(::hasFreeRoom)
         val normal = free.filter { state.speedFactor(upstream(it)) >= 1.0 }
-        return normal.ifEmpty { free }.minByOrNull(delays::delay)?.let { chosen(it, overcommitted = false) }
-            ?: names
-                .filter { allowed(it) && roomFor(upstream(it).sharedUpTo(question.tier), upstream(it)) }
-                .minByOrNull(delays::delay)
-                ?.let { chosen(it, overcommitted = true) }
+        val best = normal.ifEmpty { free }.minByOrNull(delays::delay)
+        if (best != null) return if (holds.isHeld(best)) RoutingAnswer.Held else chosen(best, overcommitted = false)
+        return names
+            .filter {
+                allowed(
+                    it,
+                ) && roomFor(upstream(it).sharedUpTo(question.tier), upstream(it)) && !holds.isHeld(it)
+            }.minByOrNull(delays::delay)
+            ?.let { chosen(it, overcommitted = true) }
     }
 
     private fun roundRobin(names: List<String>): RoutingAnswer? {
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
@@ -24,6 +24,7 @@
     val speed: SpeedState = SpeedState(),
     val cache: CacheState = CacheState(settings.name),
     val excess: ExcessDelay = ExcessDelay(),
+    val pace: TokenPace = TokenPace(),
 ) {
     val usable: Boolean
         get() = eligible && !settings.leaving
