--- a/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredHistory.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/DiscoveredHistory.kt
@@ -40,6 +40,26 @@
         return counts
     }
 
+    /**
+     * Loses the disks of up to as many voters as may be lost, right after a command was committed. All other machines lose
+     * power at the same moment, those that wait for a place included.
+     */
+    fun endWithLostDisksAndPower() {
+        val lost =
+            group.voters
+                .map { it.name }
+                .shuffled(random)
+                .take(random.nextInt(1, tolerated + 1))
+        count("lost disks while all others lose power", *lost.toTypedArray())
+        machines.live.forEach { name -> if (name in lost) machines.loseDisk(name) else machines.crash(name) }
+        machines.live.forEach { name -> group.after(random.nextLong(100, 5_000)) { machines.start(name) } }
+        group.run(LONGEST_FAULT)
+        val whole = group.run(RECOVERY, until = machines::isWhole)
+        checkGroups()
+        if (!whole) throw Violation("no recovery from lost disks and lost power: ${describe()}")
+        proposeUntilCommitted()
+    }
+
     private fun injectFault() {
         when (random.nextInt(8)) {
             0 -> loseDisks(machines.live.shuffled(random))
