--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/FastestPace.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/FastestPace.kt
@@ -1,8 +1,8 @@
 package hawthorncrank.routing.internal
 
 /**
- * The fewest milliseconds for a token that were seen on the engines of a target. The value doubles with
- * its age, so that engines which became slower are not measured by what they did long ago.
+ * The fewest milliseconds for a token that were seen on the engines of a target. The value doubles after
+ * [DOUBLING_MILLISECONDS], so that engines which became slower are not measured by what they did long ago.
  */
 internal data class FastestPace(
     private val milliseconds: Double? = null,
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptHolds.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptHolds.kt
@@ -82,7 +82,7 @@
 
     /** Without the prompts of less urgent classes, the engine would be faster by about their share of the prefill. */
     private fun leniency(): Double =
-        1 / (1 - load.prefillShare(now) { it.firstTokenOrDefault > target }).coerceAtLeast(LEAST)
+        1 / (1 - load.prefillShare(now) { it.firstTokenOrDefault > target }).coerceAtLeast(SMALLEST_SHARE)
 
     private fun firstTokenTarget(work: QueuedWork): Long =
         StreamTargets.of(state.classes[work.className]).firstTokenOrDefault
@@ -94,6 +94,7 @@
         /** A stream that is longer than expected is expected to double in length. */
         const val LONGER_THAN_LIKELY = 2
 
-        const val LEAST = 1e-6
+        /** A class without recent prompts of its own is held for none of the others. */
+        const val SMALLEST_SHARE = 1e-6
     }
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
@@ -103,11 +103,8 @@
         val best = normal.ifEmpty { free }.minByOrNull(delays::delay)
         if (best != null) return if (holds.isHeld(best)) RoutingAnswer.Held else chosen(best, overcommitted = false)
         return names
-            .filter {
-                allowed(
-                    it,
-                ) && roomFor(upstream(it).sharedUpTo(question.tier), upstream(it)) && !holds.isHeld(it)
-            }.minByOrNull(delays::delay)
+            .filter { hasRoomAboveLowerTiers(it) && !holds.isHeld(it) }
+            .minByOrNull(delays::delay)
             ?.let { chosen(it, overcommitted = true) }
     }
 
@@ -122,13 +119,16 @@
     private fun ignoringLowerTiers(names: List<String>): RoutingAnswer? {
         if (!state.policy.tierAware || question.capacity == CapacityKind.FLOOR) return null
         return names
-            .filter { allowed(it) && roomFor(upstream(it).sharedUpTo(question.tier), upstream(it)) }
+            .filter(::hasRoomAboveLowerTiers)
             .minWithOrNull(compareBy({ -preemptableTier(it) }, ::cost))
             ?.let { chosen(it, overcommitted = true) }
     }
 
     private fun preemptableTier(name: String): Int = question.preemptableTier(name)?.takeIf { it > question.tier } ?: 0
 
+    private fun hasRoomAboveLowerTiers(name: String): Boolean =
+        allowed(name) && roomFor(upstream(name).sharedUpTo(question.tier), upstream(name))
+
     /** Floor work runs on capacity that is reserved for it, so it has room on every usable upstream. */
     private fun hasFreeRoom(name: String): Boolean {
         if (!allowed(name)) return false
