Log all tokens of an attempt that broke off

Event 1541 had the tokens of the last progress report, which comes a few times a second, although tokensOf already tells what an attempt produced at its end. The end of an attempt is logged with the request at hand instead of looking it up again.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -64,7 +64,7 @@
     val stillCurrent = active?.let { state.requests.active[it.number] }
     val stale = stillCurrent == null || currentAttempt(stillCurrent) != attemptNumber
     if (stillCurrent == null || stale && rules.staleAttemptsAreDiscarded) return measureWastedTokens(attempt, end)
-    recordAttemptEnd(attempt, end)
+    recordAttemptEnd(stillCurrent, attempt, end)
     if (end !is AttemptEnd.Completed) {
         explain(stillCurrent.number, "lost attempt $attemptNumber on ${attempt.upstream}: ${describe(end)}")
     }
@@ -92,50 +92,38 @@
         end is AttemptEnd.TimedOut && end.phase == TimeoutPhase.CONNECT
 
 private fun Reduction.recordAttemptEnd(
+    active: ActiveRequest,
     attempt: RunningAttempt,
     end: AttemptEnd,
 ) {
+    val ended = attempt.copy(tokens = tokensOf(attempt, end))
     if (end !is AttemptEnd.Completed) {
-        val parts =
-            state.requests.active[attempt.requestNumber]
-                ?.request
-                ?.sharedParts
-                .orEmpty()
-        return recordAttempt(
-            attempt,
-            EntryDecisionEvent.ATTEMPT_FAILED,
-            describe(end),
-            "parts" to parts.joinToString(","),
-        )
+        val parts = "parts" to active.request.sharedParts.joinToString(",")
+        return recordAttempt(active, ended, EntryDecisionEvent.ATTEMPT_FAILED, describe(end), parts)
     }
-    val routed =
-        state.requests.active[attempt.requestNumber]
-            ?.request
-            ?.retryPolicy != null
-    if (routed) recordAttempt(attempt.copy(tokens = end.tokens), EntryDecisionEvent.ATTEMPT_COMPLETED, describe(end))
+    if (active.request.retryPolicy == null) return
+    recordAttempt(active, ended, EntryDecisionEvent.ATTEMPT_COMPLETED, describe(end))
 }
 
 /** Logs how long the attempt waited for its answer to begin and what it produced until now. */
 private fun Reduction.recordAttempt(
+    active: ActiveRequest,
     attempt: RunningAttempt,
     event: EntryDecisionEvent,
     end: String,
     vararg fields: Pair<String, Any?>,
-) {
-    val active = state.requests.active[attempt.requestNumber] ?: return
-    recordRequestEvent(
-        active,
-        event,
-        "attempt" to attempt.number,
-        "upstream" to attempt.upstream,
-        "end" to end,
-        "after" to now - attempt.startedAt,
-        "began" to (attempt.firstByteAt != null),
-        "first_byte_after" to attempt.firstByteAt?.let { it - attempt.startedAt },
-        "tokens" to attempt.tokens,
-        *fields,
-    )
-}
+) = recordRequestEvent(
+    active,
+    event,
+    "attempt" to attempt.number,
+    "upstream" to attempt.upstream,
+    "end" to end,
+    "after" to now - attempt.startedAt,
+    "began" to (attempt.firstByteAt != null),
+    "first_byte_after" to attempt.firstByteAt?.let { it - attempt.startedAt },
+    "tokens" to attempt.tokens,
+    *fields,
+)
 
 private fun describe(end: AttemptEnd): String =
     when (end) {
@@ -217,7 +205,9 @@
     val attempt = state.attempts.running[attemptNumber] ?: return
     if (attempt.cancelled != null) return
     updateAttempt(attempt.copy(cancelled = Cancellation(reason, now)))
-    recordAttempt(attempt, EntryDecisionEvent.ATTEMPT_CANCELLED, reason.name.lowercase())
+    state.requests.active[attempt.requestNumber]?.let { active ->
+        recordAttempt(active, attempt, EntryDecisionEvent.ATTEMPT_CANCELLED, reason.name.lowercase())
+    }
     if (routed) state = state.copy(router = state.router.attemptEnded(attempt.requestNumber, attempt.bytes))
     emit(EntryEffect.CancelAttempt(attemptNumber, reason))
 }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedRequestsTest.kt
@@ -106,6 +106,17 @@
         assertEquals(Refusal.NonIdempotentInterrupted.problem, lines.single().fields["reason"])
     }
 
+    /** Progress is reported a few times a second only, so the last report may lack the newest events. */
+    @Test
+    fun `the end of a broken attempt is logged with all that it produced`() {
+        val start = scenario.stream(1, RESUMABLE).start()
+        scenario.send(EntryEvent.AttemptFirstByte(start.attemptNumber))
+        scenario.send(EntryEvent.AttemptProgress(start.attemptNumber, tokens = 9, bytes = 30))
+        val ended = scenario.end(start.attemptNumber, AttemptEnd.Broken(tokens = 12, bytes = 40))
+        val line = ended.of<EntryEffect.RecordEvent>().single { it.event.number == 1541 }
+        assertEquals(12, line.fields["tokens"])
+    }
+
     /** The log must show what the entry knew when it placed an attempt, and how old that knowledge was. */
     @Test
     fun `every attempt on a route logs a line with its identifier, its upstream and the age of the list`() {
