Share the engines and entries of the replayed loads

OverloadRun and PromptLoadRun built the same upstreams, routers and delays each for itself; PromptLoad has them now.

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/TokenPace.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/TokenPace.kt
@@ -19,7 +19,10 @@
     }
 
     private companion object {
+        /** Several progress reports of a stream, between which chunks of prompts come and go. */
         const val HALF_LIFE_MILLISECONDS = 1_000.0
+
+        /** A running stream reports progress several times in this time. */
         const val RECENT_MILLISECONDS = 2_000L
     }
 }
--- a/routing/src/test/kotlin/hawthorncrank/routing/OverloadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/OverloadRun.kt
@@ -4,8 +4,6 @@
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.Organisation
 import hawthorncrank.protocol.TrafficClass
-import hawthorncrank.protocol.Upstream
-import hawthorncrank.protocol.UpstreamKind
 import hawthorncrank.scheduling.DispatchDecision
 import hawthorncrank.scheduling.OfferOutcome
 import hawthorncrank.scheduling.QueuedWork
@@ -16,13 +14,6 @@
 import java.util.SplittableRandom
 import kotlin.math.ln
 
-/** [share] of the engines crash [at] a time in milliseconds and start again after [down]. */
-internal class EngineCrash(
-    val at: Double,
-    val share: Double,
-    val down: Double,
-)
-
 /**
  * Replays [factor] times the load for 30 s in virtual time on entries that do not see each other's requests. Callers leave at
  * their deadline or after a long pause, and come back once after a refusal. Streams that a crash breaks off are not counted.
@@ -35,12 +26,8 @@
 ) {
     private val random = SplittableRandom(seed)
     private val source = StreamSource(load, random)
-    private val upstreams =
-        load.engines.zones.flatMapIndexed { zone, count ->
-            (1..count).map { upstream("engine-$zone-$it", "zone-$zone") }
-        }
-    private val engines = upstreams.associate { it.name to SimulatedFullEngine(load.engines) }
-    private val entries = List(load.engines.zones.size * load.entriesPerZone) { SimulatedEntry(it) }
+    private val engines = load.upstreams.associate { it.name to SimulatedFullEngine(load.engines) }
+    private val entries = List(load.entries) { SimulatedEntry(it) }
     private val events = PriorityQueue<Triple<Double, Long, () -> Unit>>(compareBy({ it.first }, { it.second }))
     private var eventNumber = 0L
     private val stepping = HashSet<String>()
@@ -119,14 +106,7 @@
         private val index: Int,
     ) {
         private var scheduler = scheduler(configuration(), SchedulingPolicy(preemption = false, floor = false))
-        private var router =
-            router(
-                configuration(),
-                RouterLocation("zone-${zoneOf(index)}", "zone-${zoneOf(index)}"),
-                load.entriesPerZone,
-                seed + index,
-                RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
-            )
+        private var router = load.router(configuration(), index, seed + index)
         private val active = HashMap<Long, OverloadCaller>()
 
         fun arrive(caller: OverloadCaller) {
@@ -225,7 +205,7 @@
             name: String,
         ) {
             caller.engine = name
-            val delay = if (name.startsWith("engine-${zoneOf(index)}-")) 0.0 else ONE_WAY_TO_OTHER_REGION
+            val delay = load.delayTo(name, index)
             at(now + delay) {
                 if (active[caller.stream.number] === caller && name !in down) {
                     engines.getValue(name).submit(caller.stream)
@@ -254,8 +234,6 @@
         }
     }
 
-    private fun zoneOf(entry: Int) = entry / load.entriesPerZone
-
     private fun configuration(): Configuration {
         val classes =
             load.kinds.map {
@@ -277,20 +255,14 @@
                 NO_LIMIT,
                 NO_LIMIT,
             )
-        return Configuration(classes = classes, organisations = listOf(organisation), upstreams = upstreams)
+        return Configuration(classes = classes, organisations = listOf(organisation), upstreams = load.upstreams)
     }
 
-    private fun upstream(
-        name: String,
-        zone: String,
-    ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, listOf("model"), slots = load.engines.slots)
-
     private companion object {
         const val DURATION = 40_000.0
         const val BURST_END = 30_000.0
         const val LAST_ANSWERS = 20_000.0
         const val TICK = 100.0
-        const val ONE_WAY_TO_OTHER_REGION = 20.0
         const val PROGRESS_INTERVAL = 250.0
         const val NO_LIMIT = 1_000_000
 
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
@@ -1,5 +1,9 @@
 package hawthorncrank.routing
 
+import hawthorncrank.protocol.Configuration
+import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.UpstreamKind
+
 /** The properties of a deployment's engines: times in milliseconds, [prefillSpeed] in prompt tokens a millisecond. */
 internal data class EngineSheet(
     val name: String,
@@ -57,6 +61,40 @@
     val longestAnswer: Double = 5.0,
     val sharedParts: Int = 12,
 ) {
+    val entries: Int = engines.zones.size * entriesPerZone
+
+    val upstreams: List<Upstream> =
+        engines.zones.flatMapIndexed { zone, count -> (1..count).map { upstream("engine-$zone-$it", zoneName(zone)) } }
+
+    /** The router of an entry as it is set up for routes. */
+    fun router(
+        configuration: Configuration,
+        entry: Int,
+        seed: Long,
+    ): Router =
+        router(
+            configuration,
+            RouterLocation(zoneName(zoneOf(entry)), zoneName(zoneOf(entry))),
+            entriesPerZone,
+            seed,
+            RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
+        )
+
+    /** The milliseconds from the entry to the engine. Each zone is in a region of its own. */
+    fun delayTo(
+        engine: String,
+        entry: Int,
+    ): Double = if (engine.startsWith("engine-${zoneOf(entry)}-")) 0.0 else ONE_WAY_TO_OTHER_REGION
+
+    private fun zoneOf(entry: Int) = entry / entriesPerZone
+
+    private fun zoneName(zone: Int) = "zone-$zone"
+
+    private fun upstream(
+        name: String,
+        zone: String,
+    ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, listOf("model"), slots = engines.slots)
+
     /** The same load with [factor] times the requests of one class, or of all. */
     fun times(
         factor: Double,
@@ -73,4 +111,8 @@
                 }
             },
     )
+
+    private companion object {
+        const val ONE_WAY_TO_OTHER_REGION = 20.0
+    }
 }
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadRun.kt
@@ -3,8 +3,6 @@
 import hawthorncrank.common.Milliseconds
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.TrafficClass
-import hawthorncrank.protocol.Upstream
-import hawthorncrank.protocol.UpstreamKind
 import hawthorncrank.scheduling.CapacityKind
 import hawthorncrank.scheduling.QueuedWork
 import hawthorncrank.scheduling.WorkTarget
@@ -19,15 +17,8 @@
 ) {
     private val random = SplittableRandom(seed)
     private val source = StreamSource(load, random)
-    private val upstreams =
-        load.engines.zones.flatMapIndexed {
-            zone,
-            count,
-            ->
-            (1..count).map { upstream("engine-$zone-$it", "zone-$zone") }
-        }
-    private val engines = upstreams.associate { it.name to SimulatedBatchEngine(load.engines) }
-    private val routers = MutableList(load.engines.zones.size * load.entriesPerZone) { router(it) }
+    private val engines = load.upstreams.associate { it.name to SimulatedBatchEngine(load.engines) }
+    private val routers = MutableList(load.entries) { router(it) }
     private val events = PriorityQueue<Pair<Double, () -> Unit>>(compareBy { it.first })
     private val stepping = HashSet<String>()
     private val started = HashMap<Long, String>()
@@ -80,7 +71,7 @@
                 val attempt = RoutedAttempt(stream.number, answer.upstream, work, 1, CapacityKind.SHARED)
                 routers[stream.entry] = answer.router.attemptStarted(attempt, now.toLong())
                 started[stream.number] = answer.upstream
-                val delay = if (crossesRegion(stream.entry, answer.upstream)) ONE_WAY_TO_OTHER_REGION else 0.0
+                val delay = load.delayTo(answer.upstream, stream.entry)
                 events += (now + delay) to {
                     engines.getValue(answer.upstream).submit(stream)
                     step(answer.upstream)
@@ -106,16 +97,7 @@
         val router = routers[stream.entry]
         val produced = stream.tokens / load.engines.tokensPerEvent
         if (produced == 1) {
-            val delay =
-                if (crossesRegion(
-                        stream.entry,
-                        started.getValue(stream.number),
-                    )
-                ) {
-                    ONE_WAY_TO_OTHER_REGION
-                } else {
-                    0.0
-                }
+            val delay = load.delayTo(started.getValue(stream.number), stream.entry)
             stream.firstEventAfter = stream.firstEventAfter?.plus(delay)
             progressAt[stream.number] = now
             routers[stream.entry] = router.firstTokenReceived(stream.number, (now + delay).toLong())
@@ -125,15 +107,8 @@
         }
     }
 
-    private fun crossesRegion(
-        entry: Int,
-        upstream: String,
-    ) = !upstream.startsWith("engine-${zoneOf(entry)}-")
-
-    private fun zoneOf(entry: Int) = entry / load.entriesPerZone
-
     private fun router(entry: Int) =
-        router(
+        load.router(
             Configuration(
                 classes =
                     load.kinds.flatMap { kind ->
@@ -141,19 +116,12 @@
                             TrafficClass(it, 1, Milliseconds(kind.firstEvent), Milliseconds(kind.pause))
                         }
                     } + TrafficClass("calls of plain services", 1, Milliseconds(200)),
-                upstreams = upstreams,
+                upstreams = load.upstreams,
             ),
-            RouterLocation("zone-${zoneOf(entry)}", "zone-${zoneOf(entry)}"),
-            load.entriesPerZone,
+            entry,
             seed + entry,
-            RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
         )
 
-    private fun upstream(
-        name: String,
-        zone: String,
-    ) = Upstream(name, UpstreamKind.ENGINE, "127.0.0.1:1", zone, zone, listOf("model"), slots = load.engines.slots)
-
     private fun rareClass(kind: StreamKind) = "${kind.name} of a rare tier"
 
     private fun work(stream: SimulatedStream) =
@@ -176,7 +144,6 @@
     private companion object {
         const val DURATION = 40_000.0
         const val LAST_ANSWERS = 10_000.0
-        const val ONE_WAY_TO_OTHER_REGION = 20.0
         const val RETRY_INTERVAL = 20.0
         const val PROGRESS_INTERVAL = 250.0
     }
