--- a/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
@@ -193,6 +193,50 @@
         val replica: String,
     ) : ControlOperation
 
+    /** Makes [holder], the leader of this command's term, the holder of the duties at the platform. */
+    @Serializable
+    @SerialName("take-duties")
+    data class TakeDuties(
+        val holder: String,
+    ) : ControlOperation
+
+    /** Keeps the highest count of each cell whose window is not closed. */
+    @Serializable
+    @SerialName("usage")
+    data class RecordUsage(
+        val cells: List<UsageCell>,
+    ) : ControlOperation
+
+    /** Makes the counts of [window] final. Windows are closed in order. */
+    @Serializable
+    @SerialName("close-usage")
+    data class CloseUsageWindow(
+        val window: Long,
+    ) : ControlOperation
+
+    /** The platform has accepted the report of [window]. */
+    @Serializable
+    @SerialName("usage-delivered")
+    data class UsageDelivered(
+        val window: Long,
+    ) : ControlOperation
+
+    @Serializable
+    @SerialName("order-engines")
+    data class OrderEngines(
+        val group: EngineGroup,
+        val count: Int,
+    ) : ControlOperation
+
+    /** The platform answered the order of [group] that has this [number]. */
+    @Serializable
+    @SerialName("engines-answered")
+    data class EngineOrderAnswered(
+        val group: EngineGroup,
+        val number: Long,
+        val accepted: Boolean,
+    ) : ControlOperation
+
     /** Only advances the replicated clock. */
     @Serializable
     @SerialName("clock")
--- a/control/src/main/kotlin/hawthorncrank/control/ControlState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlState.kt
@@ -45,6 +45,9 @@
     val nextPlanNumber: Long = 1,
     val orders: PersistentMap<String, OrderRecord> = persistentMapOf(),
     val weightTokens: WeightTokens = WeightTokens(),
+    val duties: DutyState = DutyState(),
+    val usage: UsageState = UsageState(),
+    val engineCounts: EngineCountState = EngineCountState(),
 )
 
 /** How long a finished claim answers resends, on the replicated clock. Afterwards its key is free. */
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/EngineCountState.kt
@@ -0,0 +1,35 @@
+@file:UseSerializers(PersistentMapSerializer::class)
+
+package hawthorncrank.control
+
+import hawthorncrank.control.internal.PersistentMapSerializer
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
+
+/** The numbers of engines that were ordered from the platform. An order is stored before it is sent. */
+@Serializable
+data class EngineCountState(
+    val orders: PersistentMap<EngineGroup, EngineCountOrder> = persistentMapOf(),
+)
+
+/** The engines of a service in one availability zone. [reclaimable] ones may be taken away by the platform. */
+@Serializable
+data class EngineGroup(
+    val service: String,
+    val availabilityZone: String,
+    val reclaimable: Boolean,
+)
+
+/** An order for [count] engines. [number] is the index of its record in the replicated log. */
+@Serializable
+data class EngineCountOrder(
+    val count: Int,
+    val number: Long,
+    val status: EngineCountStatus = EngineCountStatus.UNSENT,
+)
+
+/** [REFUSED] means that no engines of this kind were to be had. */
+@Serializable
+enum class EngineCountStatus { UNSENT, ACCEPTED, REFUSED }
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/UsageState.kt
@@ -0,0 +1,42 @@
+@file:UseSerializers(PersistentMapSerializer::class)
+
+package hawthorncrank.control
+
+import hawthorncrank.control.internal.PersistentMapSerializer
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.UseSerializers
+
+/**
+ * The requests that upstreams began to run, by window of true time. [counted] holds the highest count reported by each start
+ * of an entry and organisation, for windows after [closedThrough]. [closed] holds the reports of the newest closed windows.
+ */
+@Serializable
+data class UsageState(
+    val counted: PersistentMap<Long, PersistentMap<UsageCounter, Long>> = persistentMapOf(),
+    val closedThrough: Long? = null,
+    val closed: PersistentMap<Long, UsageReport> = persistentMapOf(),
+)
+
+/** One start of an entry and one organisation. */
+@Serializable
+data class UsageCounter(
+    val entryStart: String,
+    val organisation: String,
+)
+
+/** The final counts of a window by organisation. They never change after the window was closed. */
+@Serializable
+data class UsageReport(
+    val counts: Map<String, Long>,
+    val delivered: Boolean = false,
+)
+
+/** The count of one organisation's requests in one window, as one start of an entry reported it. */
+@Serializable
+data class UsageCell(
+    val window: Long,
+    val counter: UsageCounter,
+    val count: Long,
+)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
@@ -27,6 +27,12 @@
         is ControlOperation.EndOrder -> current.endOrder(operation, context).done()
         is ControlOperation.EntryLinked -> current.entryLinked(operation, context).done()
         is ControlOperation.EntryLost -> current.entryLost(operation).done()
+        is ControlOperation.TakeDuties -> current.takeDuties(operation, context).done()
+        is ControlOperation.RecordUsage -> current.recordUsage(operation).done()
+        is ControlOperation.CloseUsageWindow -> current.closeUsageWindow(operation).done()
+        is ControlOperation.UsageDelivered -> current.usageDelivered(operation).done()
+        is ControlOperation.OrderEngines -> current.orderEngines(operation, context).done()
+        is ControlOperation.EngineOrderAnswered -> current.engineOrderAnswered(operation).done()
         ControlOperation.AdvanceClock -> current.done()
         else -> current.applyOnce(context) { answerOperator(operation, context) }
     }
