Give programs under test ports that no outgoing connection can take

The port had been free when it was chosen, but it was in the range that the system gives to outgoing connections, and other programs of the test opened connections meanwhile. Ports are now chosen below that range.

--- a/endtoend/src/test/kotlin/hawthorncrank/endtoend/SampleFolder.kt
+++ b/endtoend/src/test/kotlin/hawthorncrank/endtoend/SampleFolder.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.endtoend
 
+import java.net.BindException
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
@@ -46,11 +47,28 @@
     private fun ports(text: String): List<String> = ADDRESS.findAll(text).map { it.groupValues[1] }.toList()
 
     private fun freePorts(wanted: List<String>): Map<String, Int> {
-        val sockets = wanted.map { ServerSocket(0) }
+        val sockets =
+            FIXED_PORTS
+                .shuffled()
+                .asSequence()
+                .mapNotNull(::bound)
+                .take(wanted.size)
+                .toList()
         return wanted.zip(sockets.map { it.localPort }).toMap().also { sockets.forEach(ServerSocket::close) }
     }
 
+    private fun bound(port: Int): ServerSocket? =
+        try {
+            ServerSocket(port)
+        } catch (_: BindException) {
+            null
+        }
+
     private companion object {
         val ADDRESS = Regex("""127\.0\.0\.1:(\d+)""")
+
+        // The system gives ports above these to outgoing connections, and may do so before the program under test has
+        // bound its port.
+        val FIXED_PORTS = 20_000..32_000
     }
 }
