Let the leader of the control group make the platform's calls of a single holder

Some calls to the platform may come from one machine at a time, and nothing made them. The leader takes the duties under a token that rises with each change, waits a full lease, and sends what is committed and unanswered: usage windows in order, and orders for engines, one call in flight for each subject. A call is written only while the contact with a majority is younger than a quarter of the lease, which is checked again on the writing thread. The wait counts ticks, because the process clock takes a forward step of the time of day for a suspension. A repeated command of one term now takes the duties once. All of it is off without `duties`.

ControlStartTest, ControlEventCodeTest, DutySettingsTest pass.

--- a/control/src/main/kotlin/hawthorncrank/control/Control.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/Control.kt
@@ -39,7 +39,8 @@
 /**
  * Starts a control replica. Error messages name [file] as the settings file. [onFatalError] is called when the replica
  * cannot continue, on a thread that must not wait for [Control.close]. Entries that are linked to the replica get the
- * platform's list from [upstreams]; without it they read the list themselves.
+ * platform's list from [upstreams]; without it they read the list themselves. Settings with duties need [platform], which
+ * makes the calls.
  */
 fun startControl(
     settings: ControlSettings,
@@ -47,15 +48,28 @@
     clock: MillisecondClock,
     log: EventLog,
     upstreams: UpstreamListSource? = null,
+    platform: PlatformDuties? = null,
     onFatalError: () -> Unit,
 ): Result<Control, SettingsFailure> {
     val effective = settings.withDiscoveredReplicas()
     effective.firstFailure(file)?.let { return Err(it) }
+    // The platform knows machines by the names of their settings, not by their link addresses.
+    val rules = effective.dutyRules(settings.name)
+    if (rules != null && platform == null) return Err(noAdapter(file))
     val storage = replicaStorage(Path.of(settings.dataFolder))
     return storage
         .open()
         .mapError { storageFailure(file, settings, it) }
         .andThen { recovered ->
-            ControlProcess(effective, file, clock, log, storage, recovered, upstreams, onFatalError).open()
+            ControlProcess(effective, file, clock, log, storage, recovered, upstreams, rules, platform, onFatalError)
+                .open()
         }.onFailure { storage.close() }
 }
+
+private fun noAdapter(file: String) =
+    SettingsFailure.InvalidValue(
+        file,
+        "duties",
+        "this program cannot call the platform",
+        "remove the duties, or start the program of the platform's adapter",
+    )
--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -36,6 +36,17 @@
     val heartbeat: Milliseconds? = null,
     @SerialName("election_timeout")
     val electionTimeout: Milliseconds? = null,
+    val duties: List<String> = emptyList(),
+    @SerialName("duty_calls_per_second")
+    val dutyCallsPerSecond: Double? = null,
+    @SerialName("duty_lease")
+    val dutyLease: Milliseconds? = null,
+    @SerialName("duty_checks_fencing")
+    val dutyChecksFencing: Boolean = false,
+    @SerialName("usage_window")
+    val usageWindow: Milliseconds? = null,
+    @SerialName("usage_deadline")
+    val usageDeadline: Milliseconds? = null,
 ) {
     /** Whether the replicas are found by [seeds] instead of being listed in [replicas]. */
     val discoversReplicas: Boolean
@@ -93,6 +104,7 @@
 fun ControlSettings.firstFailure(file: String): SettingsFailure? =
     firstEmpty(file)
         ?: firstMalformedAddress(file)
+        ?: firstDutyFailure(file)
         ?: when {
             replicas.none { it.name == name } ->
                 InvalidValue(file, "replicas", "\"$name\" is not listed", "list every replica, this one included")
--- a/control/src/main/kotlin/hawthorncrank/control/PlatformDuties.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/PlatformDuties.kt
@@ -11,10 +11,14 @@
     val orderEngines: (DutyHolder, EngineCountCall) -> Mono<DutyAnswer>,
 )
 
-/** The machine that makes a call, and its fencing token. */
-data class DutyHolder(
+/**
+ * The machine that makes a call, and its fencing token. [mayAct] says whether the call may still be written; an adapter asks
+ * it on the thread that writes, once the connection is open.
+ */
+class DutyHolder(
     val machine: String,
     val token: Long,
+    val mayAct: () -> Boolean = { true },
 )
 
 data class UsageCall(
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -45,6 +45,16 @@
         val fencing: FencingNumber,
     ) : ControlEffect
 
+    /** Make the call if [dutyCallAllowed] still allows it when it is written, and report its end. */
+    data class CallPlatform(
+        val call: DutyCall,
+    ) : ControlEffect
+
+    data class CountDutyCall(
+        val duty: String,
+        val result: String,
+    ) : ControlEffect
+
     /** Read the platform's list of upstreams and report it as [ControlEvent.UpstreamsListed]. */
     data class ReadUpstreamList(
         val askedAt: Long,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
@@ -38,6 +38,11 @@
         val answer: OrderAnswer,
     ) : ControlEvent
 
+    data class DutyAnswered(
+        val call: DutyCall,
+        val result: DutyResult,
+    ) : ControlEvent
+
     /** The platform's list, or null if it could not be read. [askedAt] is when the process began to read it. */
     data class UpstreamsListed(
         val askedAt: Long,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.control.internal
 
 import hawthorncrank.consensus.ReplicaRole
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -30,6 +31,12 @@
         gauge("drains") { it.control.drains.size }
         gauge("pending_commands") { it.pending.size }
         gauge("entries_linked") { it.entryLinks.size }
+        gauge("duty_holder") { if (it.holdsDuties()) 1 else 0 }
+        gauge("duty_token") { it.control.duties.token }
+        gauge("usage_windows_undelivered") { process ->
+            process.control.usage.closed
+                .count { !it.value.delivered }
+        }
         Gauge.builder("hawthorncrank.log.records.dropped", droppedRecords).strongReference(true).register(registry)
         gauge("entries_behind") { process -> process.entryLinks.count { it.value.behindSince != null } }
     }
@@ -43,6 +50,15 @@
             .register(registry)
             .record(effect.milliseconds, TimeUnit.MILLISECONDS)
 
+    fun count(effect: ControlEffect.CountDutyCall) =
+        Counter
+            .builder("hawthorncrank.control.duty.calls")
+            .description("calls to the platform that ended, by duty and result")
+            .tag("duty", effect.duty)
+            .tag("result", effect.result)
+            .register(registry)
+            .increment()
+
     fun scrape(): String = registry.scrape()
 
     private fun gauge(
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -16,6 +16,7 @@
 import hawthorncrank.consensus.startReplica
 import hawthorncrank.control.Control
 import hawthorncrank.control.ControlSettings
+import hawthorncrank.control.PlatformDuties
 import hawthorncrank.control.UpstreamListSource
 import hawthorncrank.control.formation
 import hawthorncrank.control.formsGroup
@@ -38,6 +39,8 @@
     private val storage: ReplicaStorage,
     recovered: RecoveredReplica,
     upstreams: UpstreamListSource?,
+    private val dutyRules: DutyRules?,
+    platform: PlatformDuties?,
     private val onFatalError: () -> Unit,
 ) : Control {
     private val replicaSettings =
@@ -53,6 +56,7 @@
     private val orders = OrderClient(::expiryOf, thread::send)
     private val metrics = ControlMetrics({ thread.state }, log::dropped)
     private val listReader = upstreams?.let { UpstreamListReader(it, thread::send, log) }
+    private val duties = dutyRules?.let { rules -> platform?.let { dutyClient(rules, it) } }
     private val closed = AtomicBoolean()
     private val readyToStop = CountDownLatch(1)
     private val localOperators = LocalOperators { thread.send(it) }
@@ -119,6 +123,7 @@
                         wallOffset = clock.wallTime() - now,
                         requiredVoters = settings.voters ?: 1,
                         entryReleaseDelay = entryReleaseDelay(replicaSettings),
+                        dutyRules = dutyRules,
                     )
                 startedProcess(replica, state, transition.effects, now)
             }
@@ -142,6 +147,8 @@
             is ControlEffect.ReadyToStop -> readyToStop.countDown()
             is ControlEffect.PostOrder -> orders.post(effect)
             is ControlEffect.ReadUpstreamList -> listReader?.read(effect.askedAt)
+            is ControlEffect.CallPlatform -> duties?.call(effect.call)
+            is ControlEffect.CountDutyCall -> metrics.count(effect)
             is ControlEffect.MeasureCommand -> metrics.measure(effect)
             is ControlEffect.Record -> log.record(effect.event, effect.fields)
         }
@@ -149,6 +156,17 @@
 
     private fun expiryOf(term: Long) = orderExpiry(thread.state, term, clock.now(), clock.wallTime())
 
+    private fun dutyClient(
+        rules: DutyRules,
+        platform: PlatformDuties,
+    ) = DutyClient(
+        platform,
+        rules.machine,
+        rules.callLimit,
+        mayCall = { token -> dutyCallAllowed(thread.state, token, clock.now()) },
+        send = thread::send,
+    )
+
     private fun pages() =
         OperationsPages(
             healthProblem = {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -101,6 +101,7 @@
         is ControlEvent.OperatorMessage -> operatorMessage(event)
         is ControlEvent.LinkClosed -> linkClosed(event.link)
         is ControlEvent.OrderAnswered -> orderAnswered(event)
+        is ControlEvent.DutyAnswered -> dutyAnswered(event)
         is ControlEvent.UpstreamsListed -> upstreamsListed(event)
         is ControlEvent.Tick -> tick(event)
         ControlEvent.Leave -> leave()
@@ -117,6 +118,7 @@
     judgeSuspects()
     closeLinksWithoutLeader()
     readUpstreamList()
+    tickDuties()
     if (now < state.nextDutiesAt) return
     state = state.copy(nextDutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
     reportLostEntries()
@@ -126,6 +128,7 @@
 
 private fun ControlStep.leave() {
     state = state.copy(leaving = true)
+    resignDuties()
     queueReplicaEvent(ReplicaEvent.Leave)
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
@@ -9,8 +9,8 @@
 import hawthorncrank.protocol.EngineOrder
 
 /**
- * The periodic tasks of the leader: reverts timed plans that have ended, advances the replicated clock, and sends
- * orders to engines.
+ * The periodic tasks of the leader: reverts timed plans that have ended, advances the replicated clock, sends orders to
+ * engines, and performs the duties at the platform.
  */
 internal fun ControlStep.leaderDuties() {
     val leaderSince = state.leaderSince ?: return
@@ -18,6 +18,13 @@
     revertEndedPlans()
     advanceClock()
     if (now - leaderSince >= ORDER_PAUSE_MILLISECONDS) sendOrders()
+    if (holdsDuties()) performDuties()
+}
+
+/** What is decided for the platform while this replica holds the duties. Calls follow from what was committed. */
+private fun ControlStep.performDuties() {
+    // Closing usage windows and planning engine counts belong here.
+    startDutyCalls()
 }
 
 internal fun ControlStep.judgeSuspects() {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -47,6 +47,9 @@
     val requiredVoters: Int = 1,
     /** The links of entries are closed when this replica has had no contact with a leader for this many milliseconds. */
     val entryReleaseDelay: Long = MAXIMUM_ENTRY_RELEASE_DELAY_MILLISECONDS,
+    /** Null on deployments without duties at the platform. */
+    val dutyRules: DutyRules? = null,
+    val dutyWork: DutyWork = DutyWork(),
 ) {
     /** This process's estimate of the replicated clock, which never runs ahead of real time. */
     fun clock(now: Long): Long = control.clock + (now - clockAppliedAt)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
@@ -19,7 +19,7 @@
         replica.waitingReplicas.map {
             "  waiting ${it.name} at ${it.address} (identity ${it.identity}), for a voter's place"
         } +
-        fleetLines() + entryLines()
+        dutyLines() + fleetLines() + entryLines()
 }
 
 private fun ControlStep.groupLine(): String {
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -170,6 +170,7 @@
             is ControlEffect.PostOrder -> postedOrders += effect
             is ControlEffect.CloseLink -> closedLinks += effect.link
             is ControlEffect.ReadyToStop -> readyToStop += node.name
+            is ControlEffect.CallPlatform, is ControlEffect.CountDutyCall -> Unit
             is ControlEffect.MeasureCommand, is ControlEffect.Record -> Unit
         }
     }
