--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -5,6 +5,7 @@
 import hawthorncrank.common.SettingsFailure
 import hawthorncrank.common.SettingsFailure.InvalidValue
 import hawthorncrank.consensus.Formation
+import hawthorncrank.control.internal.RateSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -38,6 +39,7 @@
     val electionTimeout: Milliseconds? = null,
     val duties: List<String> = emptyList(),
     @SerialName("duty_calls_per_second")
+    @Serializable(with = RateSerializer::class)
     val dutyCallsPerSecond: Double? = null,
     @SerialName("duty_lease")
     val dutyLease: Milliseconds? = null,
