Add the settings of usage reports

The collection of usage counts needs to know whether a replica has the duty and how long the windows are.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -36,6 +36,11 @@
     val heartbeat: Milliseconds? = null,
     @SerialName("election_timeout")
     val electionTimeout: Milliseconds? = null,
+    val duties: List<String> = emptyList(),
+    @SerialName("usage_window")
+    val usageWindow: Milliseconds? = null,
+    @SerialName("usage_deadline")
+    val usageDeadline: Milliseconds? = null,
 ) {
     /** Whether the replicas are found by [seeds] instead of being listed in [replicas]. */
     val discoversReplicas: Boolean
