Count the requests that upstreams began to run and collect them by window

The platform wants a report by organisation and window of true time. Entries count a request at its first beginning, in cells that only rise and belong to one start of the process, and send them until they are committed. Replicas estimate true time, propose changed cells and close windows for the holder of the duty. Nothing is sent unless the replicas have the duty.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
@@ -204,7 +204,7 @@
     @Serializable
     @SerialName("usage")
     data class RecordUsage(
-        val cells: List<UsageCell>,
+        @CborLabel(1) val cells: List<UsageCell>,
     ) : ControlOperation
 
     /** Makes the counts of [window] final. Windows are closed in order. */
--- a/control/src/main/kotlin/hawthorncrank/control/UsageState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/UsageState.kt
@@ -1,12 +1,15 @@
 @file:UseSerializers(PersistentMapSerializer::class)
+@file:OptIn(ExperimentalSerializationApi::class)
 
 package hawthorncrank.control
 
 import hawthorncrank.control.internal.PersistentMapSerializer
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.UseSerializers
+import kotlinx.serialization.cbor.CborLabel
 
 /**
  * The requests that upstreams began to run, by window of true time. [counted] holds the highest count reported by each start
@@ -22,8 +25,8 @@
 /** One start of an entry and one organisation. */
 @Serializable
 data class UsageCounter(
-    val entryStart: String,
-    val organisation: String,
+    @CborLabel(1) val entryStart: String,
+    @CborLabel(2) val organisation: String,
 )
 
 /** The final counts of a window by organisation. They never change after the window was closed. */
@@ -36,7 +39,7 @@
 /** The count of one organisation's requests in one window, as one start of an entry reported it. */
 @Serializable
 data class UsageCell(
-    val window: Long,
-    val counter: UsageCounter,
-    val count: Long,
+    @CborLabel(1) val window: Long,
+    @CborLabel(2) val counter: UsageCounter,
+    @CborLabel(3) val count: Long,
 )
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -29,6 +29,13 @@
         gauge("suspects") { it.control.questionedSuspects().size }
         gauge("drains") { it.control.drains.size }
         gauge("pending_commands") { it.pending.size }
+        gauge("usage_late_cells") { it.usage?.lateCells ?: 0 }
+        gauge("usage_late_requests") { it.usage?.lateRequests ?: 0 }
+        gauge("usage_waiting_cells") { it.usage?.waiting?.size ?: 0 }
+        gauge("usage_undelivered_windows") { process ->
+            process.control.usage.closed
+                .count { !it.value.delivered }
+        }
         gauge("entries_linked") { it.entryLinks.size }
         Gauge.builder("hawthorncrank.log.records.dropped", droppedRecords).strongReference(true).register(registry)
         gauge("entries_behind") { process -> process.entryLinks.count { it.value.behindSince != null } }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -117,6 +117,7 @@
                         nonce = UUID.randomUUID().toString(),
                         startedAt = now,
                         wallOffset = clock.wallTime() - now,
+                        usage = settings.usageRules()?.let { UsageCollection(it) },
                         requiredVoters = settings.voters ?: 1,
                         entryReleaseDelay = entryReleaseDelay(replicaSettings),
                     )
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -117,6 +117,7 @@
     judgeSuspects()
     closeLinksWithoutLeader()
     readUpstreamList()
+    usageTick()
     if (now < state.nextDutiesAt) return
     state = state.copy(nextDutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
     reportLostEntries()
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -35,6 +35,7 @@
         is EntryToControl.ConfirmConfiguration -> handleConfirmationRequest(event.link, message)
         is EntryToControl.ListUpstreams -> handleListRequest(event.link, message)
         is EntryToControl.EntryStatus -> updateStatus(event.link, message)
+        is EntryToControl.UsageCounts -> handleUsageCounts(event.link, message)
         is EntryToControl.ExplainAnswer -> handleExplainAnswer(event.link, message)
     }
 }
@@ -74,6 +75,7 @@
     sendConvictions(event.link)
     if (state.control.questionedSuspects().isNotEmpty()) sendSuspicions(event.link)
     sendDrains(event.link)
+    askForUsage(event.link)
     confirmEntries(listOf(event.link))
 }
 
@@ -149,6 +151,7 @@
 
 internal fun ControlStep.linkClosed(link: Long) {
     val session = state.entryLinks[link] ?: return
+    usageLinkClosed(link)
     val remaining = state.entryLinks.remove(link)
     state = state.copy(entryLinks = remaining, confirmation = state.confirmation.without(link))
     if (remaining.values.none { it.entry == session.entry }) {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/OperatorSessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/OperatorSessions.kt
@@ -29,6 +29,7 @@
         is OperatorCommand.ProposeConfiguration,
         is OperatorCommand.PlanIntent,
         is OperatorCommand.History,
+        is OperatorCommand.Usage,
         -> read(TicketUse.OperatorRead(requester, event.operator, command, now + OPERATOR_MILLISECONDS))
         else -> proposeCommand(event, requester)
     }
@@ -95,6 +96,7 @@
             answer(request.requester, OperatorAnswer.CurrentDocument(control.version, control.document?.bytes))
         is OperatorCommand.ReplaceConfiguration -> replaceConfiguration(request, command)
         is OperatorCommand.History -> answer(request.requester, OperatorAnswer.Report(historyLines(command.newest)))
+        is OperatorCommand.Usage -> answer(request.requester, OperatorAnswer.Report(usageLines(command.newest)))
         is OperatorCommand.PlanIntent -> plan(request, command)
         is OperatorCommand.ProposeConfiguration -> proposeConfiguration(request, command)
         else -> Unit
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -40,6 +40,8 @@
     val leaving: Boolean = false,
     val stopping: Boolean = false,
     val upstreamList: UpstreamListState = UpstreamListState(),
+    /** Null on deployments whose replicas do not have the duty of usage reports. */
+    val usage: UsageCollection? = null,
     /**
      * Replacements of the configuration are refused until the group has this many voters, so that an early one is not
      * stored on a single disk.
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ReplicaBridge.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ReplicaBridge.kt
@@ -40,6 +40,7 @@
     if (applied.state.convictionRevision != before.convictionRevision) convictionsChanged(before)
     if (applied.state.crashEvidence !== before.crashEvidence) suspectsChanged(before)
     if (applied.state.drainRevision != before.drainRevision) streamDrains()
+    if (applied.state.usage !== before.usage) usageChanged(before)
     commandApplied(command, applied)
 }
 
@@ -77,6 +78,7 @@
     if (installed.version != before.version) confirmEntries(state.entryLinks.keys)
     if (installed.convictionRevision != before.convictionRevision) streamConvictions()
     suspectsChanged(before)
+    usageChanged(before)
     if (installed.drainRevision != before.drainRevision) streamDrains()
 }
 
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.common.Reducer
 import hawthorncrank.consensus.RecoveredReplica
 import hawthorncrank.consensus.ReplicaEvent
 import hawthorncrank.consensus.ReplicaPeer
@@ -23,6 +24,7 @@
     private val requiredVoters: Int = 1,
     initialMembers: List<String>? = null,
     private val timeouts: ReplicaSettings = ReplicaSettings(emptyList()),
+    private val usage: UsageRules? = null,
 ) {
     private val names = List(size) { "control-${it + 1}" }
     private val peers = names.map { ReplicaPeer(it, address(it)) }
@@ -31,6 +33,7 @@
     private val queue = ArrayDeque<Pair<String, ControlEvent>>()
     val closedLinks = ArrayList<Long>()
     val readyToStop = ArrayList<String>()
+    val wallSteps = HashMap<String, Long>()
     val postedOrders = ArrayList<ControlEffect.PostOrder>()
     var now = 1_000L
         private set
@@ -39,7 +42,7 @@
         val name: String,
     ) {
         lateinit var state: ProcessState
-        lateinit var reducer: hawthorncrank.common.Reducer<ProcessState, ControlEvent, ControlEffect>
+        lateinit var reducer: Reducer<ProcessState, ControlEvent, ControlEffect>
         val sent = ArrayList<Pair<Long, WireMessage>>()
         val readings = ArrayList<ControlEffect.ReadUpstreamList>()
     }
@@ -51,7 +54,7 @@
             val seed = node.name.hashCode().toLong()
             val started =
                 startReplica(settings, node.name, address(node.name), RecoveredReplica(node.name + "-id"), seed, now)
-            node.reducer = controlReducer(replica)
+            node.reducer = if (usage == null) controlReducer(replica) else closingReducer(replica)
             node.state =
                 ProcessState(
                     started.state,
@@ -59,6 +62,7 @@
                     startedAt = now,
                     requiredVoters = requiredVoters,
                     entryReleaseDelay = entryReleaseDelay(settings),
+                    usage = usage?.let { UsageCollection(it) },
                 )
             val transition = startedProcess(replica, node.state, started.effects, now)
             node.state = transition.state
@@ -138,7 +142,7 @@
     fun run(milliseconds: Long) {
         repeat((milliseconds / TICK).toInt()) {
             now += TICK
-            nodes.keys.forEach { queue += it to ControlEvent.Tick(now + WALL_OFFSET) }
+            nodes.keys.forEach { queue += it to ControlEvent.Tick(now + WALL_OFFSET + wallSteps.getOrDefault(it, 0)) }
             drain()
         }
     }
@@ -181,6 +185,15 @@
         queue += node.name to ControlEvent.Replica(event)
     }
 
+    /** The leader closes usage windows as the holder of the duty does. */
+    private fun closingReducer(replica: ReplicaReducer) =
+        Reducer<ProcessState, ControlEvent, ControlEffect> { state, event, now ->
+            val step = ControlStep(replica, state, now)
+            step.handle(event)
+            if (event is ControlEvent.Tick && state.replica.role == ReplicaRole.LEADER) step.closeUsageWindows()
+            step.finish()
+        }
+
     private fun address(name: String) = "127.0.0.1:710${name.last()}"
 
     companion object {
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/AttemptEnd.kt
@@ -4,12 +4,16 @@
 
 /** How an attempt at an upstream ended, as reported by the traffic threads. */
 sealed interface AttemptEnd {
-    /** The upstream sent a complete answer. [answer] is set for non-idempotent calls, so that it can be recorded. */
+    /**
+     * The upstream sent a complete answer. [answer] is set for non-idempotent calls, so that it can be recorded. [accepted]
+     * tells whether the upstream began to run the request.
+     */
     data class Completed(
         val status: Int,
         val tokens: Int,
         val bytes: Long,
         val answer: CallOutcome.Answered?,
+        val accepted: Boolean = true,
     ) : AttemptEnd
 
     /** No byte of the request left this process. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEvent.kt
@@ -20,10 +20,14 @@
         val requestNumber: Long,
     ) : EntryEvent
 
-    /** The first byte of the answer arrived from the upstream. [failed] is set if the answer is a server error. */
+    /**
+     * The first byte of the answer arrived from the upstream. [failed] is set if the answer is a server error. [accepted]
+     * tells whether the upstream began to run the request.
+     */
     data class AttemptFirstByte(
         val attemptNumber: Long,
         val failed: Boolean = false,
+        val accepted: Boolean = true,
     ) : EntryEvent
 
     /** Sent at most every 250 ms. Values are totals since the start of the attempt. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -12,6 +12,7 @@
 import hawthorncrank.entry.core.internal.RetryBudget
 import hawthorncrank.entry.core.internal.StopState
 import hawthorncrank.entry.core.internal.SuspectsState
+import hawthorncrank.entry.core.internal.UsageState
 import hawthorncrank.entry.core.internal.ZoneState
 import hawthorncrank.routing.Router
 import hawthorncrank.scheduling.Scheduler
@@ -37,6 +38,7 @@
     internal val explanations: Explanations = Explanations(),
     internal val stop: StopState = StopState(),
     internal val confirmation: ConfirmationState = ConfirmationState(),
+    internal val usage: UsageState = UsageState(),
     internal val reportedReady: Boolean = false,
     internal val statusSentAt: Long = 0,
     internal val measuredAt: Long = 0,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -48,6 +48,7 @@
             priority = priority,
             // A resumed stream is still the same run, so another break is not additional evidence of a crash.
             suspect = resume == null && state.suspects.isSuspect(request.contentDigest, now),
+            billedTo = active.billedTo,
         )
     state = state.copy(attempts = AttemptsState(state.attempts.running.put(number, attempt), number + 1))
     val started =
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -15,8 +15,10 @@
 internal fun Reduction.attemptFirstByte(
     attemptNumber: Long,
     failed: Boolean,
+    accepted: Boolean = true,
 ) {
     val attempt = state.attempts.running[attemptNumber] ?: return
+    if (accepted) usageBegan(attempt)
     updateAttempt(attempt.copy(firstByteAt = attempt.firstByteAt ?: now))
     state = state.copy(router = state.router.firstTokenReceived(attempt.requestNumber, now))
     val active = currentRequest(attempt) ?: return staleFirstByte(attempt)
@@ -54,6 +56,7 @@
     end: AttemptEnd,
 ) {
     val attempt = state.attempts.running[attemptNumber] ?: return
+    usageEnded(attempt, end)
     val active = currentRequest(attempt)
     state = state.copy(attempts = state.attempts.copy(running = state.attempts.running.remove(attemptNumber)))
     removeFromUpstreamLoad(attempt, end)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
@@ -14,7 +14,7 @@
 
 /**
  * [suspect] is set if the content was suspected of crashing engines when the attempt started; it then shares its engine
- * with no other suspect. A [cancelled] attempt still counts as running on its upstream until its end is reported.
+ * with no other suspect. [billedTo] is the organisation for which the request counts in usage reports, if any. A [cancelled] attempt still counts as running on its upstream until its end is reported.
  */
 internal data class RunningAttempt(
     val number: Long,
@@ -25,6 +25,7 @@
     val startedAt: Long,
     val priority: Int,
     val suspect: Boolean = false,
+    val billedTo: String? = null,
     val firstByteAt: Long? = null,
     val tokens: Int = 0,
     val bytes: Long = 0,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
@@ -60,6 +60,7 @@
     state = state.copy(confirmation = confirmation.copy(suspended = confirmation.suspended + milliseconds))
     record(EntryDecisionEvent.MACHINE_SUSPENDED, "milliseconds" to milliseconds)
     emit(EntryEffect.Measure(Measurement.Suspended))
+    usageInterrupted()
     if (state.controlLink.open) requestConfirmation()
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -13,7 +13,7 @@
         is EntryEvent.RequestArrived -> requestArrived(event.request)
         is EntryEvent.CallerLeft -> callerLeft(event.requestNumber)
         is EntryEvent.AnswerDelivered -> answerDelivered(event.requestNumber)
-        is EntryEvent.AttemptFirstByte -> attemptFirstByte(event.attemptNumber, event.failed)
+        is EntryEvent.AttemptFirstByte -> attemptFirstByte(event.attemptNumber, event.failed, event.accepted)
         is EntryEvent.AttemptProgress -> attemptProgress(event.attemptNumber, event.tokens, event.bytes)
         is EntryEvent.AttemptEnded -> attemptEnded(event.attemptNumber, event.end)
         is EntryEvent.LoadReported -> loadReported(event.upstream, event.report)
@@ -56,6 +56,9 @@
         is ControlToEntry.ConvictionUpdate -> convictionsUpdated(message)
         is ControlToEntry.SuspicionUpdate -> suspicionsUpdated(message)
         is ControlToEntry.DrainUpdate -> drainsUpdated(message)
+        is ControlToEntry.UsageWanted -> usageWanted(message)
+        is ControlToEntry.UsageTime -> usageTimeAnswered(message)
+        is ControlToEntry.UsageRecorded -> usageRecorded(message)
         is ControlToEntry.ExplainQuestion -> answerExplainQuestion(message)
     }
 }
@@ -73,6 +76,7 @@
 
 private fun Reduction.controlLinkOpened() {
     state = state.copy(controlLink = ControlLink(open = true, number = state.controlLink.number + 1))
+    usageLinkOpened()
     sendHello()
     requestConfirmation()
     requestUpstreamList()
@@ -92,6 +96,7 @@
     membershipTick()
     upstreamListTick()
     suspectsTick()
+    usageTick()
     sendStatus()
     measureState()
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
@@ -43,4 +43,6 @@
     STOP_REQUESTED(1550, Level.INFO, "the entry is stopping and finishes the requests in progress"),
     STOP_FINISHED(1551, Level.INFO, "no request is in flight and the entry terminates"),
     STOP_LEFT_RECORDS(1552, Level.ERROR, "the entry terminates with claim records that control has not acknowledged"),
+    USAGE_WANTED(1560, Level.INFO, "the control replica asks for counts of requests"),
+    TRUE_TIME_ESTIMATED(1561, Level.INFO, "true time is known again"),
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Stopping.kt
@@ -54,6 +54,7 @@
             "abandons" to state.claims.pendingAbandons.size,
         )
     }
+    if (usageDelaysStop(since)) return
     state = state.copy(stop = state.stop.copy(terminated = true))
     record(EntryDecisionEvent.STOP_FINISHED)
     emit(EntryEffect.Terminate)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -55,6 +55,9 @@
     /** Whether the stream may end after what was received. */
     val mayEnd: Boolean get() = framer.done
 
+    /** Whether the upstream began to run the request. Behind a stream, only events show that. */
+    val accepted: Boolean get() = !outcomeUnknown && (streaming || !owner.streamed)
+
     /** Whether events of the stream were passed to the caller. */
     val passedEvents: Boolean get() = streaming && firstByteSeen
 
@@ -112,7 +115,7 @@
         when {
             !streaming -> owner.completed(this, if (outcomeUnknown) unstatedOutcome() else completeAnswer())
             mayEnd || nothingWasLeft() -> {
-                end(AttemptEnd.Completed(HTTP_OK, framer.tokens, receivedBytes, null))
+                end(AttemptEnd.Completed(HTTP_OK, framer.tokens, receivedBytes, null, accepted = receivedBytes > 0))
                 owner.streamCompleted(this, framer.remainder())
             }
             // A stream that may not end here is incomplete, even if the connection was closed cleanly.
@@ -213,7 +216,7 @@
         firstByteSeen = true
         lastProgress = now()
         val failed = outcomeUnknown || checkNotNull(head).status >= HTTP_SERVER_ERROR
-        report(EntryEvent.AttemptFirstByte(number, failed))
+        report(EntryEvent.AttemptFirstByte(number, failed, accepted))
     }
 
     private fun progress() {
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
@@ -5,6 +5,7 @@
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.core.StatedOutcome
+import hawthorncrank.protocol.EntryToControl
 
 /** Executes the effects that the control thread decided on. Nothing here blocks. */
 internal class EffectExecutor(
@@ -19,6 +20,7 @@
     private val pollUpstreamList: (Boolean) -> Unit,
     private val closeIdleConnections: () -> Unit,
     private val terminate: () -> Unit,
+    private val wallTime: () -> Long,
 ) {
     fun execute(effect: EntryEffect) {
         when (effect) {
@@ -32,7 +34,7 @@
                     )?.refuse(refusals.refusal(effect.refusal), effect.refusal.problem)
             is EntryEffect.ReplayAnswer -> activeExchanges.exchange(effect.requestNumber)?.replay(replayed(effect))
             is EntryEffect.AbortStream -> activeExchanges.exchange(effect.requestNumber)?.breakStream(effect.reason)
-            is EntryEffect.SendToControl -> links.sendToControl(effect.message)
+            is EntryEffect.SendToControl -> links.sendToControl(stamped(effect.message))
             is EntryEffect.SendToZone -> links.sendToZone(effect.message, effect.recipient)
             is EntryEffect.PollUpstreamList -> pollUpstreamList(effect.enabled)
             is EntryEffect.ProbeUpstream -> polls.probe(effect.upstream, effect.address)
@@ -45,6 +47,10 @@
         }
     }
 
+    // The time of day is no input of the entry's decisions; control compares that of many machines.
+    private fun stamped(message: EntryToControl): EntryToControl =
+        if (message is EntryToControl.UsageCounts) message.copy(wallTime = wallTime()) else message
+
     // If the caller has disconnected, its exchange is gone and the attempt ends before anything is sent.
     private fun start(effect: EntryEffect.StartAttempt) {
         val exchange = activeExchanges.exchange(effect.requestNumber)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -61,6 +61,7 @@
             { listPolls?.enabled = it },
             { connections.closeWhenAnswered() },
             ::finishWhenNoRequestsAreOpen,
+            clock::wallTime,
         )
 
     // Request numbers of earlier processes of this entry must not be reused: claims and explanations refer to them.
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -144,7 +144,13 @@
         if (isCurrent && waits) heldAnswer = answer
         val record = if (request.format.release == AnswerRelease.WHEN_RECORDED && waits) outcome(received) else null
         attempt.end(
-            AttemptEnd.Completed(received.status, generatedTokens(received), received.body.size.toLong(), record),
+            AttemptEnd.Completed(
+                received.status,
+                generatedTokens(received),
+                received.body.size.toLong(),
+                record,
+                attempt.accepted,
+            ),
         )
         if (isCurrent && !waits) deliver(answer)
     }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -91,6 +91,25 @@
         val upstreams: List<String>,
     ) : ControlToEntry
 
+    /** Asks the entry to send [EntryToControl.UsageCounts] on this link, in windows of [window] milliseconds. */
+    @Serializable
+    data class UsageWanted(
+        val window: Long,
+    ) : ControlToEntry
+
+    /** Answers [EntryToControl.UsageCounts] at once. [trueTime] is null while the replica has no estimate. */
+    @Serializable
+    data class UsageTime(
+        val question: Long,
+        val trueTime: Long? = null,
+    ) : ControlToEntry
+
+    /** These counts are committed, or their windows are closed. */
+    @Serializable
+    data class UsageRecorded(
+        val cells: List<UsageCount>,
+    ) : ControlToEntry
+
     @Serializable
     data class ExplainQuestion(
         val question: Long,
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -96,6 +96,21 @@
         val ready: Boolean,
     ) : EntryToControl
 
+    /**
+     * Reports how many requests of each organisation began to run in each window of true time. Counts are cumulative since
+     * [start], which identifies this start of the entry's process; [cells] are those that changed since they were last sent
+     * on this link. [question] is the entry's monotonic time; the answer repeats it. [trueTime] is the entry's estimate and
+     * [wallTime] its time of day at the time of sending. Sent only after [ControlToEntry.UsageWanted].
+     */
+    @Serializable
+    data class UsageCounts(
+        val start: String,
+        val question: Long,
+        val cells: List<UsageCount> = emptyList(),
+        val trueTime: Long? = null,
+        val wallTime: Long? = null,
+    ) : EntryToControl
+
     /** Answers [ControlToEntry.ExplainQuestion]; [lines] is empty if the entry does not know the request. */
     @Serializable
     data class ExplainAnswer(
@@ -122,3 +137,11 @@
     val content: String,
     val age: Long,
 )
+
+/** The number of an organisation's requests that upstreams began to run in a window, as one entry counted them. */
+@Serializable
+data class UsageCount(
+    val window: Long,
+    val organisation: String,
+    val count: Long,
+)
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/OperatorMessages.kt
@@ -76,6 +76,12 @@
         val newest: Int,
     ) : OperatorCommand
 
+    /** Reads the reports of the [newest] closed usage windows. */
+    @Serializable
+    data class Usage(
+        val newest: Int,
+    ) : OperatorCommand
+
     @Serializable
     data class Explain(
         val requestNumber: String,
