--- a/operator/src/main/kotlin/hawthorncrank/operator/Main.kt
+++ b/operator/src/main/kotlin/hawthorncrank/operator/Main.kt
@@ -28,6 +28,7 @@
 import hawthorncrank.operator.internal.PlanCommand
 import hawthorncrank.operator.internal.SessionSource
 import hawthorncrank.operator.internal.StatusCommand
+import hawthorncrank.operator.internal.UsageCommand
 import java.nio.file.Path
 
 /** The operators' command line. */
@@ -78,6 +79,7 @@
             PlanCommand(),
             ConfirmCommand(),
             HistoryCommand(),
+            UsageCommand(),
             ExplainCommand(),
             DrainCommand(),
             ConvictionCommand(),
--- a/operator/src/main/kotlin/hawthorncrank/operator/internal/GroupCommands.kt
+++ b/operator/src/main/kotlin/hawthorncrank/operator/internal/GroupCommands.kt
@@ -82,6 +82,12 @@
     override fun run() = show(session.ask(OperatorCommand.History(newest)))
 }
 
+internal class UsageCommand : GroupCommand("usage", "Show the usage reports of the newest windows") {
+    private val newest by option(help = "number of newest windows to show").int().default(20)
+
+    override fun run() = show(session.ask(OperatorCommand.Usage(newest)))
+}
+
 /** Each entry is linked to one replica only, so all replicas are asked and the first non-empty report is printed. */
 internal class ExplainCommand : GroupCommand("explain", "Show the decisions on a request and their reasons") {
     private val request by argument(help = "value of the response header Hawthorncrank-Request")
