--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -118,6 +118,7 @@
     judgeSuspects()
     closeLinksWithoutLeader()
     readUpstreamList()
+    usageTick()
     tickDuties()
     if (now < state.nextDutiesAt) return
     state = state.copy(nextDutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.consensus.ReplicaRole
 import hawthorncrank.control.ControlOperation
+import hawthorncrank.control.Duty
 import hawthorncrank.control.LOAD_TOKEN_THOUSANDTHS
 import hawthorncrank.control.OrderRecord
 import hawthorncrank.control.OrderStatus
@@ -23,7 +24,7 @@
 
 /** What is decided for the platform while this replica holds the duties. Calls follow from what was committed. */
 private fun ControlStep.performDuties() {
-    // Closing usage windows and planning engine counts belong here.
+    if (holdsDuty(Duty.USAGE_REPORT)) closeUsageWindows()
     startDutyCalls()
 }
 
