Do not pass on part of an early answer as complete

Cause: the HTTP client ends the body of an answer without an error when the writing of the request fails, and it takes the end of a connection for the end of an answer without length, also while the upload is still being written. Callers got 200 and the part that had arrived as a complete answer, and streams that ended after a whole event looked complete.

Change: the codec of upstream connections records whether the request was written and whether the answer came to its end. The body ends with an error otherwise, so that the attempt has broken. An orderly end of the connection during the upload counts as a failure as well, because it does not tell a finished answer from an upstream that failed.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
@@ -13,16 +13,26 @@
 /**
  * Decodes the answers on one connection to an upstream, on which each request gets one answer. Bytes after a complete
  * answer belong to no request, and the next answer would be decoded as their continuation. They are discarded, and the
- * connection is not used again.
+ * connection is not used again. An answer that only the end of its connection delimits is complete if the whole request
+ * was written before: an upstream that ends the connection earlier may have failed.
  */
 internal class AnswerDecoder : HttpResponseDecoder() {
     private var awaited: HttpMethod? = null
     private var interim = false
+    private var progress = ExchangeProgress()
+
+    /** Reports what becomes of the next request to [next]. */
+    fun begin(next: ExchangeProgress) {
+        progress = next
+    }
 
     fun requestSent(method: HttpMethod) {
         awaited = method
     }
 
+    /** Returns the progress of the exchange whose request is being written. */
+    fun currentProgress(): ExchangeProgress = progress
+
     override fun decode(
         context: ChannelHandlerContext,
         buffer: ByteBuf,
@@ -40,6 +50,15 @@
         if (!interim && out.lastOrNull() is LastHttpContent) answerEnded(context, buffer)
     }
 
+    override fun decodeLast(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        super.decodeLast(context, buffer, out)
+        if (out.lastOrNull() is LastHttpContent && progress.requestWritten) progress.answerComplete = true
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         awaited == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
@@ -48,6 +67,7 @@
         buffer: ByteBuf,
     ) {
         awaited = null
+        progress.answerComplete = true
         if (!buffer.isReadable) return
         buffer.skipBytes(buffer.readableBytes())
         Connection.from(context.channel()).markPersistent(false)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/UpstreamClient.kt
@@ -50,8 +50,12 @@
 /**
  * Creates the client of a running entry. Non-idempotent calls have a separate pool that drops connections 2 s after
  * their last use: the peer may no longer respond on an older connection, which would leave the outcome unknown.
+ * [configure] sets further options of connections.
  */
-internal fun upstreamClient(nonIdempotentIdleLimit: Duration = NON_IDEMPOTENT_IDLE_LIMIT): UpstreamClient {
+internal fun upstreamClient(
+    nonIdempotentIdleLimit: Duration = NON_IDEMPOTENT_IDLE_LIMIT,
+    configure: (HttpClient) -> HttpClient = { it },
+): UpstreamClient {
     val pool = connections("upstream", IDLE_LIMIT)
     val nonIdempotentPool = connections("upstream-fresh", nonIdempotentIdleLimit)
     val unpooled = ConnectionProvider.newConnection()
@@ -62,13 +66,14 @@
                 request.idempotent -> pool
                 else -> nonIdempotentPool
             }
-        HttpClient
-            .create(connections)
+        val progress = ExchangeProgress()
+        configure(HttpClient.create(connections))
             .disableRetry(true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, attempt.timeouts.connect.toInt())
             .doOnChannelInit { _, channel, _ ->
                 channel.pipeline().replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, UpstreamCodec())
-            }.doOnResponse { response, connection -> closeIfMismatched(response, connection, request.format) }
+            }.doOnRequest { _, connection -> codecOf(connection).begin(progress) }
+            .doOnResponse { response, connection -> closeIfMismatched(response, connection, request.format) }
             .headers { headers -> setHeaders(headers, request, content) }
             .request(request.method)
             .uri("http://${attempt.address}${request.uri}")
@@ -82,11 +87,18 @@
                 )
             }.response { response, answer ->
                 val head = UpstreamSignal.Head(response.status().code(), response.responseHeaders())
-                Flux.concat(Mono.just(head), answer.asByteArray().map { UpstreamSignal.Chunk(it) })
+                val chunks = answer.asByteArray().map<UpstreamSignal> { UpstreamSignal.Chunk(it) }
+                Flux.concat(Mono.just(head), chunks, Mono.defer { completion(progress) })
             }
     }
 }
 
+private fun codecOf(connection: Connection): UpstreamCodec =
+    connection.channel().pipeline().get(NettyPipeline.HttpCodec) as UpstreamCodec
+
+private fun completion(progress: ExchangeProgress): Mono<UpstreamSignal> =
+    if (progress.answerComplete) Mono.empty() else Mono.error(IncompleteAnswer())
+
 /** The pool takes a connection back once its answer has arrived, which may be before the attempt has read the head. */
 private fun closeIfMismatched(
     response: HttpClientResponse,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/KeptConnectionUpstream.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/KeptConnectionUpstream.kt
@@ -4,8 +4,12 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 
-/** Keeps its connections open and writes the bytes that [answer] returns for each request. */
+/**
+ * Keeps its connections open and writes the bytes that [answer] returns for each request, before it reads the body of the
+ * request if it [answersEarly].
+ */
 internal class KeptConnectionUpstream(
+    private val answersEarly: Boolean = false,
     private val answer: (KeptConnectionCall) -> String,
 ) : AutoCloseable {
     val calls = CopyOnWriteArrayList<KeptConnectionCall>()
@@ -18,10 +22,12 @@
         connections += socket
         val connection = connections.indexOf(socket) + 1
         generateSequence { readHead(socket.getInputStream()) }.forEachIndexed { index, head ->
-            socket.getInputStream().readNBytes(field(head, "content-length").toInt())
+            val length = field(head, "content-length").toInt()
+            if (!answersEarly) socket.getInputStream().readNBytes(length)
             val call = KeptConnectionCall(connection, index + 1, field(head, RoutedEntryFixture.IDENTIFIER_HEADER))
             calls += call
             socket.getOutputStream().write(answer(call).toByteArray())
+            if (answersEarly) socket.getInputStream().readNBytes(length)
         }
     }
 
