Take an answer with an invalid status for a broken connection

Cause: the decoder accepts every number as a status, and the entry passed it on. On kept connections and with Connection: close, callers got status lines such as "HTTP/1.1 0 Unknown Status (0)"; streams over HTTP/1.0 began with 200.

Change: a status that is not three digits from 100 to 599 makes the answer invalid, so that the attempt has broken and idempotent calls may be tried again. The connection is not used again. Interim answers stay as they are.

Letters and negative numbers, which are no numbers to the decoder, were refused before.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
@@ -14,7 +14,8 @@
  * Decodes the answers on one connection to an upstream, on which each request gets one answer. Bytes after a complete
  * answer belong to no request, and the next answer would be decoded as their continuation. They are discarded, and the
  * connection is not used again. An answer that only the end of its connection delimits is complete if the whole request
- * was written before: an upstream that ends the connection earlier may have failed.
+ * was written before: an upstream that ends the connection earlier may have failed. What arrives with a status that HTTP
+ * does not have is no answer.
  */
 internal class AnswerDecoder : HttpResponseDecoder() {
     private var awaited: HttpMethod? = null
@@ -47,6 +48,7 @@
         out.forEach { decoded ->
             if (decoded is HttpResponse) interim = decoded.status().codeClass() == HttpStatusClass.INFORMATIONAL
         }
+        if (out.any { it is HttpResponse && it.decoderResult().isFailure }) return invalid(context)
         if (!interim && out.lastOrNull() is LastHttpContent) answerEnded(context, buffer)
     }
 
@@ -59,6 +61,12 @@
         if (out.lastOrNull() is LastHttpContent && progress.requestWritten) progress.answerComplete = true
     }
 
+    /** The superclass accepts every number as a status. An exception makes it pass on an invalid message instead. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) { "an answer has an invalid status" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         awaited == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
@@ -72,4 +80,13 @@
         buffer.skipBytes(buffer.readableBytes())
         Connection.from(context.channel()).markPersistent(false)
     }
+
+    private fun invalid(context: ChannelHandlerContext) {
+        Connection.from(context.channel()).markPersistent(false)
+    }
+
+    private companion object {
+        /** Three digits from 100 to 599. */
+        val STATUS = Regex("[1-5][0-9]{2}")
+    }
 }
