Bound the unfinished answers of an entry by a common budget

Cause: each answer that is not streamed could hold 16 MiB and each unfinished event of a stream 1 MiB, and nothing bounded their sum.

Change: collected bodies and unfinished events share a budget of a quarter of the heap, at most 32 MiB. Above it, one answer that holds at least the mean is cut off, the least urgent one and of these the largest. The caller gets 502, or the attempt of a stream is broken. Event 1020 has the reason answer_budget. Complete answers that wait for their caller do not count.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ActiveExchanges.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ActiveExchanges.kt
@@ -10,6 +10,7 @@
 internal class ActiveExchanges(
     val client: UpstreamClient,
     val now: () -> Long,
+    val budget: AnswerBudget = answerBudget(),
     val report: (EntryEvent) -> Unit,
 ) {
     private val exchanges = ConcurrentHashMap<Long, Exchange>()
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -25,10 +25,12 @@
     private val owner: Exchange,
     private val loop: EventLoop,
     private val now: () -> Long,
+    budget: AnswerBudget,
     private val report: (EntryEvent) -> Unit,
 ) : BaseSubscriber<UpstreamSignal>() {
     private val framer by lazy(LazyThreadSafetyMode.NONE) { EventFramer(owner.framing, owner.precedingEventIdentifier) }
-    private val collected = ByteArrayOutputStream()
+    private val share = budget.share(effect.priority) { loop.execute(::cutOff) }
+    private var collected = ByteArrayOutputStream()
     private var head: UpstreamSignal.Head? = null
     private var outcomeUnknown = false
     private var streaming = false
@@ -131,6 +133,7 @@
     fun end(end: AttemptEnd) {
         if (ended) return
         ended = true
+        share.release()
         timeoutCheck?.cancel(false)
         owner.attemptEnded(this)
         report(EntryEvent.AttemptEnded(number, end))
@@ -181,6 +184,7 @@
         receivedBytes += bytes.size
         if (!streaming) {
             collected.write(bytes)
+            share.hold(collected.size().toLong())
             firstByte()
             if (collected.size() > COMPLETE_ANSWER_LIMIT_BYTES) {
                 owner.completed(this, tooLarge())
@@ -189,6 +193,7 @@
             return
         }
         receiveEvents(framer.accept(bytes))
+        share.hold(framer.unfinishedBytes.toLong())
         framer.fault?.let(::fail)
     }
 
@@ -200,12 +205,23 @@
         progress()
     }
 
-    private fun fail(fault: InvalidEvent) {
+    private fun fail(fault: RuntimeException) {
         owner.attemptFailed(this, fault)
         end(AttemptEnd.Broken(framer.tokens, receivedBytes))
         cancel()
     }
 
+    /** Ends the attempt because the answers in progress hold more than the entry's budget. */
+    private fun cutOff() {
+        if (ended) return
+        if (streaming) return fail(AnswerCutOff(NO_MEMORY))
+        owner.answerNotUsed(this, checkNotNull(head).status, "answer_budget")
+        val body = problemBody(NO_MEMORY, "ask for a smaller or a streamed answer, or send the request again later")
+        collected = ByteArrayOutputStream()
+        owner.completed(this, CompleteAnswer(HTTP_BAD_GATEWAY, JSON_HEADERS, body.toByteArray()))
+        cancel()
+    }
+
     private fun announcedBytes(): Long = answerHeaders.get(CONTENT_LENGTH)?.toLongOrNull() ?: 0
 
     private fun firstByte() {
@@ -283,6 +299,7 @@
 
         // A rejection of this size arrives together with its head; reading it costs less than a new connection.
         const val SMALL_BODY_BYTES = 4_096L
+        const val NO_MEMORY = "the entry has no memory left for the upstream's answer"
         const val EVENT_STREAM = "text/event-stream"
         const val CONTENT_LENGTH = "Content-Length"
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -40,7 +40,7 @@
         ControlThread(reducer, initial, clock, log, {
             metrics.recordControlDelay(it)
         }, ::refuseAfterFault) { effects.execute(it) }
-    private val activeExchanges = ActiveExchanges(client, clock::now, control::send)
+    private val activeExchanges = ActiveExchanges(client, clock::now, report = control::send)
     private val keys = ApiKeyAuthenticator(verify)
     private val callerInterface =
         if (routed == null) nativeCallers(keys, clock::now) else routedCallers(keys, routed.protocol, clock::now)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -61,7 +61,7 @@
 
     /** Called on the control thread: registers the attempt at once, so that a later cancellation always finds it. */
     fun start(effect: EntryEffect.StartAttempt) {
-        val attempt = Attempt(effect, this, loop, activeExchanges.now, activeExchanges.report)
+        val attempt = Attempt(effect, this, loop, activeExchanges.now, activeExchanges.budget, activeExchanges.report)
         activeExchanges.register(attempt, this)
         // Lets the loop read what has arrived before the request is sent: the caller may have closed its connection while
         // this process lacked processor time.
