--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
@@ -13,16 +13,27 @@
 /**
  * Decodes the answers on one connection to an upstream, on which each request gets one answer. Bytes after a complete
  * answer belong to no request, and the next answer would be decoded as their continuation. They are discarded, and the
- * connection is not used again.
+ * connection is not used again. An answer that only the end of its connection delimits is complete if the whole request
+ * was written before: an upstream that ends the connection earlier may have failed. What arrives with a status that HTTP
+ * does not have is no answer.
  */
 internal class AnswerDecoder : HttpResponseDecoder() {
     private var awaited: HttpMethod? = null
     private var interim = false
+    private var progress = ExchangeProgress()
+
+    /** Reports what becomes of the next request to [next]. */
+    fun begin(next: ExchangeProgress) {
+        progress = next
+    }
 
     fun requestSent(method: HttpMethod) {
         awaited = method
     }
 
+    /** Returns the progress of the exchange whose request is being written. */
+    fun currentProgress(): ExchangeProgress = progress
+
     override fun decode(
         context: ChannelHandlerContext,
         buffer: ByteBuf,
@@ -37,9 +48,25 @@
         out.forEach { decoded ->
             if (decoded is HttpResponse) interim = decoded.status().codeClass() == HttpStatusClass.INFORMATIONAL
         }
+        if (out.any { it is HttpResponse && it.decoderResult().isFailure }) return invalid(context)
         if (!interim && out.lastOrNull() is LastHttpContent) answerEnded(context, buffer)
     }
 
+    override fun decodeLast(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        super.decodeLast(context, buffer, out)
+        if (out.lastOrNull() is LastHttpContent && progress.requestWritten) progress.answerComplete = true
+    }
+
+    /** The superclass accepts every number as a status. An exception makes it pass on an invalid message instead. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) { "an answer has an invalid status" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         awaited == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
@@ -48,8 +75,18 @@
         buffer: ByteBuf,
     ) {
         awaited = null
+        progress.answerComplete = true
         if (!buffer.isReadable) return
         buffer.skipBytes(buffer.readableBytes())
         Connection.from(context.channel()).markPersistent(false)
     }
+
+    private fun invalid(context: ChannelHandlerContext) {
+        Connection.from(context.channel()).markPersistent(false)
+    }
+
+    private companion object {
+        /** Three digits from 100 to 599. */
+        val STATUS = Regex("[1-5][0-9]{2}")
+    }
 }
