Give the observations of an upstream a type of their own

UpstreamObservations has now what is known of an upstream, from whom and how old it is: the upstream's own report, the last interval between tokens, late first tokens and the recent pace. The comparison of speeds, the candidates and the view are files of their own. No change of behaviour. PromptLoadTest prints its figures, as ServedBySizeTest does.

PromptLoadTest*, ServedBySizeTest*, Router* and Prompt* pass.

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -44,7 +44,7 @@
 
     fun delay(name: String): Double {
         val upstream = state.upstreams.getValue(name)
-        val excess = maxOf(upstream.excess.value(now), overdue[name] ?: 0.0)
+        val excess = maxOf(upstream.observations.excess.value(now), overdue[name] ?: 0.0)
         return load.speed.millisecondsFor(upstream.pendingPrefillTokens + prefillTokens(name)) +
             state.networkDelays.roundTrip(upstream.distance) +
             excess * SEEN_BY_OTHERS_TOO +
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptHolds.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptHolds.kt
@@ -38,7 +38,7 @@
 
     private fun recentPace(name: String): Double? {
         val upstream = state.upstreams.getValue(name)
-        return upstream.pace.recent(now)
+        return upstream.observations.pace.recent(now)
     }
 
     private fun anyGenerates(): Boolean =
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -2,8 +2,6 @@
 
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.TrafficClass
-import hawthorncrank.protocol.Upstream
-import hawthorncrank.protocol.UpstreamKind
 import hawthorncrank.routing.ChoiceRule
 import hawthorncrank.routing.RoutedAttempt
 import hawthorncrank.routing.Router
@@ -50,7 +48,7 @@
     val crossRegionBytes: PersistentMap<String, Long> = persistentHashMapOf(),
 ) : Router {
     override val view: RouterView
-        get() = StateView(this)
+        get() = RouterStateView(this)
 
     override fun configure(configuration: Configuration): Router {
         val named = configuration.upstreams.associateBy { it.name }
@@ -134,7 +132,10 @@
         val running = attempts[attemptNumber] ?: return this
         val state = upstreams[running.attempt.upstream] ?: return this
         if (!running.prefilling) return this
-        val observed = state.copy(excess = state.excess.observe(overdue(running, state.distance, now), now))
+        val observed =
+            state.copy(
+                observations = state.observations.firstToken(overdue(running, state.distance, now), now),
+            )
         return copy(
             upstreams = upstreams.put(running.attempt.upstream, observed.prefillEnded(running)),
             attempts = attempts.put(attemptNumber, running.copy(prefilling = false)),
@@ -214,8 +215,8 @@
         now: Long,
     ): Double {
         val factor = speedFactor(state)
-        val borrowed = state.free(now, policy.loadDiscounting) / liveEntries * factor
-        if (state.distance > nearest && state.report != null) return borrowed
+        val borrowed = state.observations.free(state.ownAttempts, now, policy.loadDiscounting) / liveEntries * factor
+        if (state.distance > nearest && state.observations.report != null) return borrowed
         val owned = state.slots * (1 - floorFraction) / (liveEntries * zonesSharing[state.distance.ordinal])
         return maxOf(1.0, owned * factor) + borrowed
     }
@@ -224,73 +225,12 @@
     fun nearestDistance(target: WorkTarget): Distance =
         Distance.entries.firstOrNull { !candidates[target]?.at(it).isNullOrEmpty() } ?: Distance.OTHER_REGION
 
-    fun speedFactor(state: UpstreamState): Double = if (policy.slowDetection) state.speed.factor else 1.0
+    fun speedFactor(state: UpstreamState): Double = if (policy.slowDetection) state.observations.speed.factor else 1.0
 
     /** The fraction of the prompt's blocks that engines hold by this entry's records. */
     fun prefixMatches(work: QueuedWork): Map<String, Double> =
         if (policy.prefixAffinity) prefixes.matches(work.prefixBlocks) { upstreams[it]?.cache } else emptyMap()
 
-    private fun observePace(
-        attempt: RoutedAttempt,
-        elapsed: Long,
-        produced: Int,
-        now: Long,
-    ): RouterState {
-        val state = upstreams[attempt.upstream] ?: return this
-        val pace = state.pace.observe(elapsed, produced, now)
-        val load = loads[attempt.work.target] ?: TargetLoad()
-        val fastest = load.fastestPace.observe(elapsed.toDouble() / produced, now)
-        return copy(
-            upstreams = upstreams.put(attempt.upstream, state.copy(pace = pace)),
-            loads = loads.put(attempt.work.target, load.copy(fastestPace = fastest)),
-        )
-    }
-
-    private fun observeInterval(
-        upstream: String,
-        interval: Double,
-        now: Long,
-    ): RouterState {
-        val state = upstreams[upstream] ?: return this
-        val observed = state.copy(speed = state.speed.observe(interval, now))
-        return copy(upstreams = upstreams.put(upstream, observed)).evaluateSpeed(upstream, now)
-    }
-
-    private fun evaluateSpeed(
-        upstream: String,
-        now: Long,
-    ): RouterState {
-        val state = upstreams[upstream] ?: return this
-        val target = targetsOf(state.settings).firstOrNull() ?: return this
-        val withMedian = refreshMedian(target, now)
-        val evaluated = state.copy(speed = state.speed.evaluate(withMedian.medians[target]?.value, now))
-        return withMedian.copy(upstreams = upstreams.put(upstream, evaluated))
-    }
-
-    /**
-     * Computing the median takes time in proportion to the number of peers, so it is updated at most twice per second.
-     */
-    private fun refreshMedian(
-        target: WorkTarget,
-        now: Long,
-    ): RouterState {
-        val known = medians[target]
-        if (known != null && now - known.at < MEDIAN_UPDATE_MILLISECONDS) return this
-        val intervals =
-            candidates[target]
-                ?.all
-                .orEmpty()
-                .mapNotNull { name ->
-                    upstreams[name]?.speed?.takeIf {
-                        now - it.intervalAt <=
-                            SpeedState.STALE_MILLISECONDS
-                    }
-                }.mapNotNull { it.interval }
-                .sorted()
-        val value = if (intervals.size < LEAST_PEERS) null else intervals[(intervals.size - 1) / 2]
-        return copy(medians = medians.put(target, PeerMedian(value, now)))
-    }
-
     private fun countCrossRegionBytes(
         state: UpstreamState,
         attempt: RoutedAttempt,
@@ -302,87 +242,4 @@
             crossRegionBytes = crossRegionBytes.put(organisation, (crossRegionBytes[organisation] ?: 0) + bytes),
         )
     }
-
-    private fun withCandidates(): RouterState {
-        val usable = upstreams.values.filter { it.usable }.sortedBy { it.settings.name }
-        val byTarget =
-            usable
-                .flatMap { state ->
-                    targetsOf(state.settings).map { it to state }
-                }.groupBy({ it.first }, { it.second })
-        val inZone = usable.filter { it.distance == Distance.ZONE && it.settings.kind == UpstreamKind.ENGINE }
-        val floorSlots = classes.values.sumOf { maxOf(1, it.floorSlots) } * liveEntries
-        val slots = inZone.sumOf { it.slots }
-        return copy(
-            candidates = byTarget.mapValues { (_, states) -> Candidates(states) }.toPersistentHashMap(),
-            zonesSharing = Distance.entries.map(::zonesWithin),
-            floorFraction = floorFraction(floorSlots, slots),
-        )
-    }
-
-    private fun floorFraction(
-        floorSlots: Int,
-        slots: Int,
-    ): Double {
-        if (slots == 0 || !policy.reservesFloors) return 0.0
-        return minOf(LARGEST_FLOOR_FRACTION, floorSlots.toDouble() / slots)
-    }
-
-    /** How many availability zones, this one included, have upstreams within the distance. */
-    private fun zonesWithin(distance: Distance): Int {
-        val zones = upstreams.values.filter { it.distance <= distance }.map { it.settings.availabilityZone }
-        return (zones + location.availabilityZone).distinct().size
-    }
-
-    private fun distance(settings: Upstream): Distance =
-        when {
-            settings.availabilityZone == location.availabilityZone -> Distance.ZONE
-            settings.region == location.region -> Distance.REGION
-            else -> Distance.OTHER_REGION
-        }
-
-    companion object {
-        private const val MEDIAN_UPDATE_MILLISECONDS = 500L
-
-        /** With two engines, the lower interval is the reference; one alone is never slow. */
-        private const val LEAST_PEERS = 2
-
-        /** At least three quarters of a small zone remain shared capacity. */
-        private const val LARGEST_FLOOR_FRACTION = 0.25
-
-        fun targetsOf(settings: Upstream): List<WorkTarget> =
-            when (settings.kind) {
-                UpstreamKind.ENGINE -> settings.models.map { WorkTarget.Model(it) }
-                UpstreamKind.SERVICE -> listOfNotNull(settings.service?.let { WorkTarget.Service(it) })
-            }
-    }
-}
-
-private class StateView(
-    private val state: RouterState,
-) : RouterView {
-    override fun inFlight(upstream: String): Int = state.upstreams[upstream]?.ownAttempts ?: 0
-
-    override fun pendingPrefillTokens(upstream: String): Int = state.upstreams[upstream]?.pendingPrefillTokens ?: 0
-
-    override fun tokenInterval(upstream: String): Double? = state.upstreams[upstream]?.speed?.interval
-
-    override fun speedFactor(upstream: String): Double = state.upstreams[upstream]?.let(state::speedFactor) ?: 1.0
-
-    override fun share(
-        upstream: String,
-        now: Long,
-    ): Double = state.upstreams[upstream]?.let { state.share(it, nearestDistanceOf(it), now) } ?: 0.0
-
-    private fun nearestDistanceOf(upstream: UpstreamState): Distance =
-        RouterState.targetsOf(upstream.settings).minOfOrNull { state.nearestDistance(it) } ?: Distance.ZONE
-
-    override fun isEligible(upstream: String): Boolean = state.upstreams[upstream]?.usable ?: false
-
-    override fun crossesRegion(upstream: String): Boolean = state.upstreams[upstream]?.distance == Distance.OTHER_REGION
-
-    override fun crossRegionBytes(organisation: String): Long = state.crossRegionBytes[organisation] ?: 0
-
-    override val prefixBlocks: Int
-        get() = state.prefixes.size
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
@@ -45,7 +45,7 @@
 
     private fun endsInTime(name: String): Boolean {
         val finishBy = work.finishBy ?: return true
-        val interval = upstream(name).speed.interval ?: return true
+        val interval = upstream(name).observations.speed.interval ?: return true
         return now + interval * (question.likelyMaximumTokens ?: 0) <= finishBy
     }
 
@@ -70,7 +70,10 @@
                 .minWithOrNull(
                     compareBy(
                         { upstream(it).distance == Distance.OTHER_REGION },
-                        { upstream(it).ownAttempts + upstream(it).otherEntriesLoad(now, state.policy.loadDiscounting) },
+                        {
+                            upstream(it).ownAttempts +
+                                upstream(it).observations.otherEntriesLoad(now, state.policy.loadDiscounting)
+                        },
                         { upstream(it).sharedUpTo(1) },
                     ),
                 ) ?: return RoutingAnswer.ConstraintUnmet
@@ -150,7 +153,7 @@
     /** The load per slot at the engine's current speed, minus what a matching prefix saves. */
     private fun cost(name: String): Double {
         val upstream = upstream(name)
-        val load = upstream.ownAttempts + upstream.otherEntriesLoad(now, state.policy.loadDiscounting) + 1
+        val load = upstream.ownAttempts + upstream.observations.otherEntriesLoad(now, state.policy.loadDiscounting) + 1
         val loaded = load / (upstream.slots * state.speedFactor(upstream))
         return loaded - PREFIX_WEIGHT * (matches[name] ?: 0.0)
     }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
@@ -8,7 +8,7 @@
 import kotlinx.collections.immutable.toPersistentList
 
 /**
- * What this entry knows about one upstream. [shared] counts the entry's own attempts on shared capacity by tier, and
+ * One upstream with this entry's own work there, and what is known of it by [observations]. [shared] counts the entry's own attempts on shared capacity by tier, and
  * [floor] those on the floors of classes. [pendingPrefillTokens] counts the prompt tokens of its attempts that the
  * upstream has not processed yet.
  */
@@ -20,17 +20,14 @@
     val floor: Int = 0,
     val suspects: Int = 0,
     val pendingPrefillTokens: Int = 0,
-    val report: ObservedReport? = null,
-    val speed: SpeedState = SpeedState(),
     val cache: CacheState = CacheState(settings.name),
-    val excess: ExcessDelay = ExcessDelay(),
-    val pace: TokenPace = TokenPace(),
+    val observations: UpstreamObservations = UpstreamObservations(),
 ) {
     val usable: Boolean
         get() = eligible && !settings.leaving
 
     val slots: Int
-        get() = (report?.slots ?: settings.slots).coerceAtLeast(1)
+        get() = (observations.report?.slots ?: settings.slots).coerceAtLeast(1)
 
     val ownAttempts: Int
         get() = shared.sum() + floor
@@ -67,71 +64,18 @@
         load: UpstreamLoad,
         now: Long,
     ): UpstreamState {
-        if (report != null && load.sequence <= report.sequence &&
-            now - report.at < RESTART_AFTER_MILLISECONDS
-        ) {
-            return this
-        }
-        val total = load.running + load.queued
-        return copy(
-            report =
-                ObservedReport(
-                    sequence = load.sequence,
-                    slots = load.slots,
-                    otherEntriesLoad = (total - ownAttempts).coerceAtLeast(0),
-                    free = (load.slots - total).coerceAtLeast(0),
-                    ownAttemptsAtReport = ownAttempts,
-                    at = now,
-                ),
-        )
+        val observed = observations.reported(load, ownAttempts, now)
+        return if (observed === observations) this else copy(observations = observed)
     }
 
-    /** The load caused by other entries according to the last report. */
-    fun otherEntriesLoad(
-        now: Long,
-        discounting: Boolean,
-    ): Double = report?.let { it.otherEntriesLoad * it.weight(now, discounting) } ?: 0.0
-
-    /** The slots that are free by the last report, less what this entry has started since. */
-    fun free(
-        now: Long,
-        discounting: Boolean,
-    ): Double =
-        report?.let {
-            (it.free - (ownAttempts - it.ownAttemptsAtReport)).coerceAtLeast(0) * it.weight(now, discounting)
-        } ?: 0.0
-
     companion object {
         /** All tiers from this one down share one count; the planned deployment has five tiers. */
         private const val TIERS = 8
         private val NO_ATTEMPTS: PersistentList<Int> = List(TIERS) { 0 }.toPersistentList()
 
-        /** After this long without a report, a lower sequence number means that the engine process restarted. */
-        private const val RESTART_AFTER_MILLISECONDS = 3_000L
-
         private fun tierIndex(tier: Int): Int = (tier - 1).coerceIn(0, TIERS - 1)
     }
 }
 
-/** The values of a load report that decisions use, with the entry's own attempts and the time at its arrival. */
-internal data class ObservedReport(
-    val sequence: Long,
-    val slots: Int,
-    val otherEntriesLoad: Int,
-    val free: Int,
-    val ownAttemptsAtReport: Int,
-    val at: Long,
-) {
-    fun weight(
-        now: Long,
-        discounting: Boolean,
-    ): Double = if (discounting) remainingShare(now - at, HALF_LIFE_MILLISECONDS) else 1.0
-
-    private companion object {
-        /** Reports arrive about once per second; when two are missing, the last one counts a quarter. */
-        const val HALF_LIFE_MILLISECONDS = 1_000.0
-    }
-}
-
 /** How far an upstream is from this entry. */
 internal enum class Distance { ZONE, REGION, OTHER_REGION }
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadTest.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoadTest.kt
@@ -59,7 +59,9 @@
 
     private fun onTime(load: PromptLoad): Map<String, Double> {
         val runs = (1L..SEEDS).map { PromptLoadRun(load, it).onTime() }
-        return load.kinds.associate { kind -> kind.name to runs.map { it.getValue(kind.name) }.average() }
+        val shares = load.kinds.associate { kind -> kind.name to runs.map { it.getValue(kind.name) }.average() }
+        println("${load.engines.name}, ${load.entries} entries: $shares")
+        return shares
     }
 
     private companion object {
