Let slow engines get less urgent work, switched off

Placement knew one speed for all engines. On engines of which a quarter has 0.55 of the speed and the others 1.2, with spells, 0.18 to 0.20 of the most urgent streams ran on slow ones, and most of those had a late pause.

EngineSpeed keeps the shortest typical time between events that several reports confirm, SlowEngines compares it with the fastest pace of all. Slow engines are kept last for short prompts, and engines are kept for the most urgent classes only; streams that do not bear the longest pauses wait for faster engines; slow engines are preferred for fewer shared parts.

Entries do not measure the time between events yet.

--- a/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
@@ -59,11 +59,15 @@
         now: Long,
     ): Router
 
-    /** Records progress of an attempt; [tokens] is its total so far. */
+    /**
+     * Records progress of an attempt; [tokens] is its total so far. [typicalInterval] is the median time between the events
+     * since the last report, in milliseconds, if it was measured.
+     */
     fun attemptProgress(
         attemptNumber: Long,
         tokens: Int,
         now: Long,
+        typicalInterval: Double? = null,
     ): Router
 
     /** Records the end of an attempt. [answerBytes] counts for cross-region billing. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Candidates.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Candidates.kt
@@ -31,15 +31,36 @@
         return place.rank < (place.zoneSize * share + 0.5).toInt().coerceIn(1, place.zoneSize - 1)
     }
 
-    private fun places(zone: List<UpstreamState>): List<Pair<String, ZonePlace>> =
-        zone
-            .map { it.settings.name }
-            .sortedByDescending { PromptDelays.rendezvousRank(0, it) }
-            .mapIndexed { rank, name -> name to ZonePlace(rank, zone.size) }
+    /** The same with [slow] engines last in their zone, so that faster ones are kept while there are some. */
+    fun isForShortPrompts(
+        name: String,
+        share: Double,
+        slow: SlowEngines,
+    ): Boolean {
+        val place = places[name] ?: return false
+        if (place.zoneSize == 1) return false
+        val kept = (place.zoneSize * share + 0.5).toInt().coerceIn(1, place.zoneSize - 1)
+        val isSlow = name in slow
+        var rank = 0
+        for (other in place.zone) {
+            if (other == name) continue
+            val isBefore = if (other in slow == isSlow) places.getValue(other).rank < place.rank else isSlow
+            if (isBefore) rank++
+        }
+        return rank < kept
+    }
+
+    private fun places(zone: List<UpstreamState>): List<Pair<String, ZonePlace>> {
+        val names = zone.map { it.settings.name }.sortedByDescending { PromptDelays.rendezvousRank(0, it) }
+        return names.mapIndexed { rank, name -> name to ZonePlace(rank, names) }
+    }
 
     /** The place of an engine in an order of the engines of its zone that all entries compute alike. */
     private class ZonePlace(
         val rank: Int,
-        val zoneSize: Int,
-    )
+        val zone: List<String>,
+    ) {
+        val zoneSize: Int
+            get() = zone.size
+    }
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -4,6 +4,8 @@
 import hawthorncrank.scheduling.WorkTarget
 import kotlinx.collections.immutable.PersistentMap
 import java.util.SplittableRandom
+import kotlin.math.ln
+import kotlin.math.pow
 
 /**
  * Estimates how many milliseconds each engine would take to the first token of a prompt, from what this entry knows:
@@ -20,6 +22,9 @@
  * The prefill of a long prompt delays the tokens of all other requests on the engine. Some engines of each zone are
  * therefore kept for short prompts of classes that usually have such ([PromptGroups]). Their number follows the share of
  * these classes in the load.
+ *
+ * Where some engines are slow ([SlowEngines]), a fast one is kept before a slow one, and for the classes with the shortest pauses
+ * only. Streams wait for faster engines unless they bear the longest pauses, and fewer shared parts prefer a slow engine.
  */
 internal class PromptDelays(
     private val state: RouterState,
@@ -30,7 +35,8 @@
     private val candidates = state.candidates[work.target]
     private val load = state.loads[work.target] ?: TargetLoad()
     private val streamTargets = StreamTargets.of(state.classes[work.className])
-    private val groups = load.groups(state.streamTargets, now)
+    private val slow = state.slowEngines[work.target] ?: SlowEngines.NONE
+    private val groups = load.groups(state.streamTargets, now).let { if (slow.any) it.onlySensitive() else it }
     private val isLong = groups.isLong(streamTargets, work.promptTokens)
     private val isKept = !isLong && streamTargets in groups.kept
     private val target = streamTargets.firstTokenOrDefault.toDouble()
@@ -39,17 +45,19 @@
             .filter { it.betweenTokens != null }
             .mapNotNull { it.firstToken }
             .minOrNull() ?: StreamTargets.DEFAULT_TARGET_MILLISECONDS
+    private val longestPause: Long = state.streamTargets.mapNotNull { it.betweenTokens }.maxOrNull() ?: 0
     private val preferred = preferredEngine()
     private val overdue: Map<String, Double> by lazy(LazyThreadSafetyMode.NONE, ::overdueAttempts)
 
     fun delay(name: String): Double {
         val upstream = state.upstreams.getValue(name)
         val excess = maxOf(upstream.observations.excess.value(now), overdue[name] ?: 0.0)
-        return load.speed.millisecondsFor(upstream.pendingPrefillTokens + prefillTokens(name)) +
+        return load.speed.millisecondsFor(upstream.pendingPrefillTokens + prefillTokens(name)) * slow.slowdown(name) +
             state.networkDelays.roundTrip(upstream.distance) +
             excess * SEEN_BY_OTHERS_TOO +
             upstream.ownAttempts * millisecondsPerRunningRequest(upstream.slots) +
-            classPenalty(name)
+            classPenalty(name) +
+            slowPenalty(name)
     }
 
     /** The tokens of the prompt that the engine probably does not hold. */
@@ -81,27 +89,51 @@
         val worthLeavingZone = load.speed.millisecondsFor(work.sharedTokens) > farthest
         val inZone = eligible.filter(::isInZone)
         val considered = if (worthLeavingZone || inZone.isEmpty()) eligible else inZone
+        if (slow.any) return considered.maxByOrNull { rendezvousScore(part, it) }
         return considered.maxByOrNull { rendezvousRank(part, it) }
     }
 
+    /** Weighted rendezvous hashing: an engine that needs twice the time is preferred for half as many parts. */
+    private fun rendezvousScore(
+        part: Long,
+        name: String,
+    ): Double {
+        val uniform =
+            ((rendezvousRank(part, name) xor Long.MIN_VALUE) ushr LOW_BITS) * 2.0.pow(LOW_BITS - Long.SIZE_BITS)
+        return -1 / (slow.slowdown(name) * ln(uniform.coerceIn(SMALLEST_UNIFORM, 1 - SMALLEST_UNIFORM)))
+    }
+
     private fun isInZone(name: String) = state.upstreams.getValue(name).distance == Distance.ZONE
 
     private fun isForShortPrompts(name: String): Boolean =
-        groups.kept.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
+        groups.kept.isNotEmpty() && candidates != null &&
+            if (slow.any) {
+                candidates.isForShortPrompts(name, load.shortShare, slow)
+            } else {
+                candidates.isForShortPrompts(name, load.shortShare)
+            }
 
     /** Whether the engine is one for this prompt. */
     private fun isFitting(name: String): Boolean =
-        if (isForShortPrompts(name)) !isLong && !groups.isUsuallyLong(streamTargets) else !isKept
+        if (isForShortPrompts(name)) {
+            if (slow.any) isKept else !isLong && !groups.isUsuallyLong(streamTargets)
+        } else {
+            !isKept
+        }
 
     private fun classPenalty(name: String): Double =
         when {
             groups.kept.isEmpty() || isFitting(name) -> 0.0
-            isLong -> target * CAUSED_PAUSES_PENALTY
+            isLong || slow.any && !isKept -> target * CAUSED_PAUSES_PENALTY
             groups.isUsuallyLong(streamTargets) -> target * SHORTER_THAN_USUAL_PENALTY
             streamTargets in groups.sensitive -> target * PAUSES_PENALTY
             else -> target * FEW_PAUSES_PENALTY
         }
 
+    /** Streams with the longest pauses lose least on a slow engine. */
+    private fun slowPenalty(name: String): Double =
+        if (name !in slow || streamTargets.pause >= longestPause) 0.0 else target * SLOW_PENALTY
+
     /** An engine whose slots are all in use takes about as much longer for an answer as two of the shortest targets. */
     private fun millisecondsPerRunningRequest(slots: Int): Double = 2.0 * shortestTarget / slots
 
@@ -132,6 +164,11 @@
         /** Other entries see the same excess and turn to other engines as well, so a part of it counts. */
         const val SEEN_BY_OTHERS_TOO = 0.3
 
+        /** The share of its target that a request waits for a faster engine. */
+        const val SLOW_PENALTY = 1.0
+
+        const val LOW_BITS = 11
+        const val SMALLEST_UNIFORM = 1e-15
         const val ROUNDING_TOLERANCE = 0.01
 
         /** Rendezvous hashing: the highest rank is preferred, and an engine that leaves moves only its own parts. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptGroups.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptGroups.kt
@@ -17,6 +17,9 @@
         promptTokens: Int,
     ): Boolean = if (longPrompt == null) targets in long else kept.isNotEmpty() && promptTokens > longPrompt
 
+    /** With engines kept for the sensitive classes only. */
+    fun onlySensitive() = PromptGroups(sensitive, sensitive, long, longPrompt)
+
     fun isUsuallyLong(targets: StreamTargets): Boolean = targets in long
 
     companion object {
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -42,6 +42,7 @@
     val attempts: PersistentMap<Long, RunningAttempt> = persistentHashMapOf(),
     val prefixes: PrefixIndex = PrefixIndex(),
     val medians: PersistentMap<WorkTarget, PeerMedian> = persistentHashMapOf(),
+    val slowEngines: PersistentMap<WorkTarget, SlowEngines> = persistentHashMapOf(),
     val streamTargets: PersistentSet<StreamTargets> = persistentSetOf(),
     val loads: PersistentMap<WorkTarget, TargetLoad> = persistentHashMapOf(),
     val networkDelays: NetworkDelays = NetworkDelays(),
@@ -173,6 +174,7 @@
         attemptNumber: Long,
         tokens: Int,
         now: Long,
+        typicalInterval: Double?,
     ): Router {
         val running = attempts[attemptNumber] ?: return this
         val produced = tokens - running.tokens
@@ -182,6 +184,7 @@
         if (running.tokens == 0) return next
         return next
             .observePace(running.attempt, elapsed, produced, now)
+            .observeTypicalInterval(running.attempt, typicalInterval, now)
             .observeInterval(running.attempt.upstream, elapsed.toDouble() / produced, now)
     }
 
--- a/routing/src/test/kotlin/hawthorncrank/routing/OverloadRun.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/OverloadRun.kt
@@ -15,18 +15,19 @@
 import kotlin.math.ln
 
 /**
- * Replays [factor] times the load for 30 s in virtual time on entries that do not see each other's requests. Callers leave at
+ * Replays [factor] times the load, by kind and time, in virtual time on entries that do not see each other's requests. Callers leave at
  * their deadline or after a long pause, and come back once after a refusal. Streams that a crash breaks off are not counted.
  */
 internal class OverloadRun(
     private val load: PromptLoad,
-    private val factor: Double,
+    private val factor: (StreamKind, Double) -> Double,
     private val crashes: List<EngineCrash>,
     private val seed: Long,
+    private val pace: (String) -> EnginePace = { EnginePace { _, work -> work } },
 ) {
     private val random = SplittableRandom(seed)
     private val source = StreamSource(load, random)
-    private val engines = load.upstreams.associate { it.name to SimulatedFullEngine(load.engines) }
+    private val engines = load.upstreams.associate { it.name to SimulatedFullEngine(load.engines, pace(it.name)) }
     private val entries = List(load.entries) { SimulatedEntry(it) }
     private val events = PriorityQueue<Triple<Double, Long, () -> Unit>>(compareBy({ it.first }, { it.second }))
     private var eventNumber = 0L
@@ -47,6 +48,13 @@
         return callers.filterNot { it.brokenOff }
     }
 
+    /** The share of all prompt tokens read that were parts which some engine had read before. */
+    fun readAgain(): Double {
+        val byPart = engines.values.flatMap { it.readParts.entries }.groupBy({ it.key }, { it.value })
+        val again = byPart.values.sumOf { it.flatten().drop(1).sum() }
+        return again / engines.values.sumOf { it.readTokens }.toDouble()
+    }
+
     private fun at(
         time: Double,
         action: () -> Unit,
@@ -58,7 +66,7 @@
         kind: StreamKind,
         number: Long,
     ) {
-        val rate = kind.perSecond * if (now < BURST_END) factor else 1.0
+        val rate = kind.perSecond * factor(kind, now)
         at(now - ln(1 - random.nextDouble()) / rate * 1_000) {
             if (now < DURATION) {
                 scheduleArrival(kind, number + 1)
@@ -130,7 +138,7 @@
             if (events == 1) router = router.firstTokenReceived(stream.number, now.toLong())
             if (now - caller.progressAt < PROGRESS_INTERVAL) return
             caller.progressAt = now
-            router = router.attemptProgress(stream.number, events, now.toLong())
+            router = router.attemptProgress(stream.number, events, now.toLong(), stream.takeTypicalInterval())
             scheduler = scheduler.progress(stream.number, events, answerStarted = true, now.toLong())
         }
 
@@ -260,7 +268,6 @@
 
     private companion object {
         const val DURATION = 40_000.0
-        const val BURST_END = 30_000.0
         const val LAST_ANSWERS = 20_000.0
         const val TICK = 100.0
         const val PROGRESS_INTERVAL = 250.0
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoad.kt
@@ -13,6 +13,7 @@
     val prefillSpeed: Double,
     val tokensPerEvent: Int,
     val keptTokens: Int,
+    val chunkTokens: Int = 2_048,
 ) {
     /** The duration of a step in which [running] streams get a token each. */
     fun stepWith(running: Int): Double = step + running * step * SLOWDOWN_WHEN_FULL / slots
@@ -23,10 +24,9 @@
         before: Int,
     ): Double = tokens / prefillSpeed * (1 + before / TOKENS_THAT_DOUBLE_A_CHUNK)
 
-    companion object {
-        const val CHUNK_TOKENS = 2_048
-        private const val SLOWDOWN_WHEN_FULL = 1.5
-        private const val TOKENS_THAT_DOUBLE_A_CHUNK = 25_000.0
+    private companion object {
+        const val SLOWDOWN_WHEN_FULL = 1.5
+        const val TOKENS_THAT_DOUBLE_A_CHUNK = 25_000.0
     }
 }
 
@@ -60,6 +60,7 @@
     val partSizeDeviation: Double = 0.5,
     val longestAnswer: Double = 5.0,
     val sharedParts: Int = 12,
+    val unevenEngines: Boolean = false,
 ) {
     val entries: Int = engines.zones.size * entriesPerZone
 
@@ -77,7 +78,7 @@
             RouterLocation(zoneName(zoneOf(entry)), zoneName(zoneOf(entry))),
             entriesPerZone,
             seed,
-            RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
+            RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false, unevenEngines = unevenEngines),
         )
 
     /** The milliseconds from the entry to the engine. Each zone is in a region of its own. */
--- a/routing/src/test/kotlin/hawthorncrank/routing/PromptLoads.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/PromptLoads.kt
@@ -51,5 +51,17 @@
             ),
             entriesPerZone = 2,
         )
+
+    /** Engines whose speed differs, for [UnevenEngines]. */
+    val UNEVEN =
+        PromptLoad(
+            EngineSheet("uneven", listOf(4, 4, 4), 64, 6.55, 62.4, tokensPerEvent = 3, keptTokens = 443_000, 1_024),
+            listOf(
+                StreamKind("draft", 13_300, 3_720, 40, 2_500, 600, 11.9, 12_000, engineClass = 2),
+                StreamKind("check", 6_300, 2_890, 17, 800, 250, 9.6, 8_000, engineClass = 1),
+                StreamKind("blurb", 350, 1_110, 57, 500, 150, 12.9),
+            ),
+            entriesPerZone = 3,
+        )
     val ALL = listOf(LIGHTS, LETTERING, BINDERY, SLOW, FAST)
 }
--- a/routing/src/test/kotlin/hawthorncrank/routing/ServedBySizeTest.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/ServedBySizeTest.kt
@@ -25,12 +25,15 @@
         factor: Double,
     ): List<ServedBySize> {
         val bounded = load.copy(longestAnswer = LONGEST_ANSWER, sharedParts = SHARED_PARTS)
-        val callers = (1L..SEEDS).flatMap { OverloadRun(bounded, factor, CRASHES, it).run() }
+        val callers = (1L..SEEDS).flatMap { OverloadRun(bounded, burst(factor), CRASHES, it).run() }
         return load.kinds.map { kind -> ServedBySize.of(kind.name, callers.filter { it.kind.name == kind.name }) }
     }
 
+    private fun burst(factor: Double) = { _: StreamKind, now: Double -> if (now < BURST_END) factor else 1.0 }
+
     private companion object {
         const val SEEDS = 2L
+        const val BURST_END = 30_000.0
         const val LONGEST_ANSWER = 3.0
         const val SHARED_PARTS = 50
         val FACTORS = listOf(1.5, 2.6, 3.5)
--- a/routing/src/test/kotlin/hawthorncrank/routing/SimulatedBatchEngine.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/SimulatedBatchEngine.kt
@@ -14,6 +14,7 @@
     var lastEventAt = 0.0
     var firstEventAfter: Double? = null
     var longestPause = 0.0
+    private val intervals = ArrayList<Double>()
 
     /** Counts a token that was generated at a time. Returns whether it completed an event of [tokensPerEvent] tokens. */
     fun produceToken(
@@ -26,11 +27,15 @@
             firstEventAfter = at - arrivedAt
         } else {
             longestPause = maxOf(longestPause, at - lastEventAt)
+            intervals += at - lastEventAt
         }
         lastEventAt = at
         return true
     }
 
+    /** The median time between the events since the last call. */
+    fun takeTypicalInterval(): Double? = intervals.sorted().getOrNull(intervals.size / 2).also { intervals.clear() }
+
     /** The same stream at another entry, with nothing generated. */
     fun at(entry: Int) = SimulatedStream(number, kind, entry, part, arrivedAt, ofRareTier)
 
@@ -60,7 +65,7 @@
 
     /** Runs one step that begins at [now], and returns its duration and the streams that made an event or ended. */
     fun step(now: Double): SimulatedStep {
-        var chunk = EngineSheet.CHUNK_TOKENS
+        var chunk = sheet.chunkTokens
         var milliseconds = sheet.stepWith(running.size)
         val begun = ArrayList<SimulatedStream>()
         while (chunk > 0 && prefilling.isNotEmpty() && running.size + begun.size < sheet.slots) {
--- a/routing/src/test/kotlin/hawthorncrank/routing/SimulatedFullEngine.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/SimulatedFullEngine.kt
@@ -7,7 +7,13 @@
  */
 internal class SimulatedFullEngine(
     private val sheet: EngineSheet,
+    private val pace: EnginePace = EnginePace { _, work -> work },
 ) {
+    /** The sizes of the shared parts that were read, by part, each as often as it was read here. */
+    val readParts = HashMap<Long, MutableList<Int>>()
+    var readTokens = 0L
+        private set
+
     private val kept = LinkedHashMap<Long, Int>(16, 0.75f, true)
     private val waiting = ArrayList<SimulatedStream>()
     private val running = ArrayList<SimulatedStream>()
@@ -39,13 +45,14 @@
 
     /** Runs one step that begins at [now], and returns its duration and the streams that made an event or ended. */
     fun step(now: Double): SimulatedStep {
-        var chunk = EngineSheet.CHUNK_TOKENS
+        var chunk = sheet.chunkTokens
         var milliseconds = sheet.stepWith(running.size)
         val begun = ArrayList<SimulatedStream>()
         while (chunk > 0) {
             val stream = prefilling ?: admitNext(running.size + begun.size) ?: break
             val tokens = minOf(chunk, stream.prefillLeft)
             milliseconds += sheet.prefill(tokens, promptTokens(stream) - stream.prefillLeft)
+            readTokens += tokens
             stream.prefillLeft -= tokens
             chunk -= tokens
             if (stream.prefillLeft > 0) break
@@ -53,12 +60,13 @@
             prefilling = null
         }
         running += begun
-        val end = now + milliseconds
+        val duration = pace.duration(now, milliseconds)
+        val end = now + duration
         val events = running.filter { it.produceToken(end, sheet.tokensPerEvent) }
         val ended = running.filter { it.tokens >= it.kind.events * sheet.tokensPerEvent }
         running -= ended.toSet()
         preempt()
-        return SimulatedStep(milliseconds, events, ended)
+        return SimulatedStep(duration, events, ended)
     }
 
     private fun admitNext(admittedCount: Int): SimulatedStream? {
@@ -68,6 +76,7 @@
         val needed = privateTokens(stream) + if (holds) 0 else stream.kind.sharedTokens
         if (!makeRoom(needed, stream.part)) return null
         waiting.removeFirst()
+        if (!holds) readParts.getOrPut(stream.part) { ArrayList() } += stream.kind.sharedTokens
         kept[stream.part] = stream.kind.sharedTokens
         stream.prefillLeft = needed
         prefilling = stream
