Bound requests at upstreams that warm up

Cause: entries send an upstream that returns its full share at once, which is late while it is slow, and fails more requests if it fails again.

Change: the router begins a warm-up for upstreams that it is told have recovered and after a slow spell, and judges room by its bound. The bound does not apply if all usable upstreams of the target warm up, or to work that has waited half of its time. Without WarmUpSettings nothing changes.

The bound costs late answers where the other servers are overloaded.

--- a/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/Router.kt
@@ -33,6 +33,15 @@
         eligible: Boolean,
     ): Router
 
+    /** Sets how many entries the whole fleet has, which decides how they follow one another to an upstream that warms up. */
+    fun setFleetEntries(count: Int): Router
+
+    /** Records that the upstream started or recovered, so that it warms up if the settings ask for it. */
+    fun recovered(
+        upstream: String,
+        now: Long,
+    ): Router
+
     /** Records an upstream's report of its own load. Reports that are older than the newest known are ignored. */
     fun observeLoad(
         upstream: String,
@@ -66,6 +75,12 @@
         now: Long,
     ): Router
 
+    /** Records that the upstream failed or rejected an attempt. [attemptEnded] then removes the attempt. */
+    fun attemptFailed(
+        attemptNumber: Long,
+        now: Long,
+    ): Router
+
     /** Records the end of an attempt. [answerBytes] counts for cross-region billing. */
     fun attemptEnded(
         attemptNumber: Long,
@@ -153,11 +168,12 @@
     val region: String,
 )
 
-/** Creates a router that has no load information yet. */
+/** Creates a router that has no load information yet. Without [warmUp], upstreams that return get their full share at once. */
 fun router(
     configuration: Configuration,
     location: RouterLocation,
     liveEntries: Int,
     randomSeed: Long,
     policy: RoutingPolicy = RoutingPolicy(),
-): Router = emptyRouter(location, liveEntries, randomSeed, policy).configure(configuration)
+    warmUp: WarmUpSettings? = null,
+): Router = emptyRouter(location, liveEntries, randomSeed, policy, warmUp).configure(configuration)
--- a/routing/src/main/kotlin/hawthorncrank/routing/RouterView.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RouterView.kt
@@ -21,6 +21,9 @@
 
     fun isEligible(upstream: String): Boolean
 
+    /** The upstreams that warm up: this entry has a bound for its requests in progress there. */
+    fun warmingUpstreams(now: Long): Set<String>
+
     fun crossesRegion(upstream: String): Boolean
 
     fun crossRegionBytes(organisation: String): Long
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -11,6 +11,7 @@
 import hawthorncrank.routing.RoutingPolicy
 import hawthorncrank.routing.RoutingQuestion
 import hawthorncrank.routing.UpstreamLoad
+import hawthorncrank.routing.WarmUpSettings
 import hawthorncrank.scheduling.QueuedWork
 import hawthorncrank.scheduling.WorkTarget
 import kotlinx.collections.immutable.PersistentMap
@@ -25,7 +26,8 @@
     liveEntries: Int,
     randomSeed: Long,
     policy: RoutingPolicy,
-): Router = RouterState(location, policy, liveEntries.coerceAtLeast(1), randomSeed)
+    warmUp: WarmUpSettings?,
+): Router = RouterState(location, policy, liveEntries.coerceAtLeast(1), randomSeed, warmUps = WarmUps(warmUp))
 
 /** The complete state of the router. [UpstreamSelector] chooses upstreams. */
 internal data class RouterState(
@@ -46,6 +48,7 @@
     val loads: PersistentMap<WorkTarget, TargetLoad> = persistentHashMapOf(),
     val networkDelays: NetworkDelays = NetworkDelays(),
     val crossRegionBytes: PersistentMap<String, Long> = persistentHashMapOf(),
+    val warmUps: WarmUps = WarmUps(),
 ) : Router {
     override val view: RouterView
         get() = RouterStateView(this)
@@ -64,11 +67,23 @@
             loads = loads.mapValues { (_, load) -> load.retain(targets) }.toPersistentHashMap(),
             classes = configuration.classes.associateBy { it.name }.toPersistentHashMap(),
             medians = persistentHashMapOf(),
-        ).withCandidates()
+        ).withCandidates().retainWarmUps()
     }
 
     override fun setLiveEntries(count: Int): Router = copy(liveEntries = count.coerceAtLeast(1)).withCandidates()
 
+    override fun setFleetEntries(count: Int): Router = copy(warmUps = warmUps.setEntries(count))
+
+    override fun recovered(
+        upstream: String,
+        now: Long,
+    ): Router = warmUpBegun(upstream, now)
+
+    override fun attemptFailed(
+        attemptNumber: Long,
+        now: Long,
+    ): Router = attempts[attemptNumber]?.let { copy(warmUps = warmUps.failed(it, now)) } ?: this
+
     override fun setEligible(
         upstream: String,
         eligible: Boolean,
@@ -139,7 +154,7 @@
         return copy(
             upstreams = upstreams.put(running.attempt.upstream, observed.prefillEnded(running)),
             attempts = attempts.put(attemptNumber, running.copy(prefilling = false)),
-        ).learnSpeeds(running, state.distance, now)
+        ).learnSpeeds(running, state.distance, now).firstTokenObserved(running, now)
     }
 
     /** By how many milliseconds the attempt has waited for its first token longer than this entry's own work explains. */
@@ -202,7 +217,11 @@
     override fun place(
         question: RoutingQuestion,
         now: Long,
-    ): RoutingAnswer = UpstreamSelector(this, question, now).choose()
+    ): RoutingAnswer {
+        val answer = UpstreamSelector(this, question, now).choose()
+        if (answer is RoutingAnswer.Chosen || !mayExceedWarmUp(question, now)) return answer
+        return UpstreamSelector(this, question, now, bounded = false).choose()
+    }
 
     /**
      * The number of requests of shared capacity that this entry may have on the upstream: its owned share of the
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterStateView.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterStateView.kt
@@ -28,6 +28,8 @@
 
     override fun isEligible(upstream: String): Boolean = state.upstreams[upstream]?.usable ?: false
 
+    override fun warmingUpstreams(now: Long): Set<String> = state.warmUps.warming(now)
+
     override fun crossesRegion(upstream: String): Boolean = state.upstreams[upstream]?.distance == Distance.OTHER_REGION
 
     override fun crossRegionBytes(organisation: String): Long = state.crossRegionBytes[organisation] ?: 0
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/SpeedComparison.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/SpeedComparison.kt
@@ -21,7 +21,7 @@
     return copy(
         upstreams = upstreams.put(attempt.upstream, state.copy(observations = observed)),
         loads = loads.put(attempt.work.target, load.copy(fastestPace = fastest)),
-    )
+    ).paceObserved(attempt, observed.pace.recent(now), elapsed, now)
 }
 
 internal fun RouterState.observeInterval(
@@ -42,7 +42,9 @@
     val target = targetsOf(state.settings).firstOrNull() ?: return this
     val withMedian = refreshMedian(target, now)
     val compared = state.observations.comparedWith(withMedian.medians[target]?.value, now)
-    return withMedian.copy(upstreams = upstreams.put(upstream, state.copy(observations = compared)))
+    return withMedian
+        .copy(upstreams = upstreams.put(upstream, state.copy(observations = compared)))
+        .warmUpAfterSlowSpell(state, now)
 }
 
 /**
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamSelector.kt
@@ -14,6 +14,8 @@
  * room, the cheapest of two random ones and those that hold the prompt's prefix is chosen, or the cheapest of all if
  * none of these has room.
  *
+ * An upstream that warms up has no room beyond the bound of its warm-up, unless [bounded] is false.
+ *
  * For isolated requests, and with [ChoiceRule.LEAST_DELAY] for all requests with a prompt, all upstreams of the target
  * are compared instead.
  */
@@ -21,12 +23,15 @@
     private val state: RouterState,
     private val question: RoutingQuestion,
     private val now: Long,
+    private val bounded: Boolean = true,
 ) {
     private val random = SplittableRandom(state.seed)
     private val work = question.work
     private val nearest = state.nearestDistance(work.target)
     private val matches: Map<String, Double> = state.prefixMatches(work)
 
+    private val warmShare by lazy(LazyThreadSafetyMode.NONE) { state.warmShare(question, now) }
+
     fun choose(): RoutingAnswer {
         val candidates = state.candidates[work.target] ?: return RoutingAnswer.NoUpstream
         if (question.constraint.isolated) return isolated(candidates)
@@ -130,11 +135,11 @@
     private fun preemptableTier(name: String): Int = question.preemptableTier(name)?.takeIf { it > question.tier } ?: 0
 
     private fun hasRoomAboveLowerTiers(name: String): Boolean =
-        allowed(name) && roomFor(upstream(name).sharedUpTo(question.tier), upstream(name))
+        allowed(name) && withinWarmUp(name) && roomFor(upstream(name).sharedUpTo(question.tier), upstream(name))
 
     /** Floor work runs on capacity that is reserved for it, so it has room on every usable upstream. */
     private fun hasFreeRoom(name: String): Boolean {
-        if (!allowed(name)) return false
+        if (!allowed(name) || !withinWarmUp(name)) return false
         if (question.capacity == CapacityKind.FLOOR) return true
         val upstream = upstream(name)
         return roomFor(upstream.ownAttempts - upstream.floor, upstream)
@@ -148,6 +153,10 @@
         upstream: UpstreamState,
     ): Boolean = counted + 0.5 <= state.share(upstream, nearest, now)
 
+    private fun withinWarmUp(name: String): Boolean =
+        !bounded || !state.warmUps.isWarming(name, now) ||
+            state.warmUps.hasRoom(name, upstream(name).ownAttempts, warmShare, now)
+
     private fun allowed(name: String): Boolean = name !in question.constraint.excluded
 
     /** The load per slot at the engine's current speed, minus what a matching prefix saves. */
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/WarmUps.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/WarmUps.kt
@@ -17,7 +17,10 @@
 ) {
     fun setEntries(count: Int): WarmUps = copy(entries = count)
 
-    /** Work of this entry that goes on at the upstream neither waits for the entry's turn nor exceeds the bound. */
+    /**
+     * Work of this entry that goes on at the upstream neither waits for the entry's turn nor exceeds the bound. If the warm-up
+     * before has not ended, its reduced bound remains and the entries join more slowly.
+     */
     fun begin(
         upstream: String,
         inProgress: Int,
@@ -25,16 +28,25 @@
         now: Long,
     ): WarmUps {
         val entry = settings?.entry ?: return this
-        val delay = if (inProgress > 0) 0 else joinDelay(entry, upstream, maxOf(entries, entriesOfZone))
-        return copy(running = running.put(upstream, WarmUp(now, now + delay, maxOf(1.0, inProgress.toDouble()))))
+        val earlier = running[upstream]?.takeUnless { it.isOver(now) }
+        val bound = minOf(1.0, earlier?.bound ?: 1.0)
+        val delay = joinDelay(entry, upstream, maxOf(entries, entriesOfZone)) / maxOf(bound, SLOWEST_JOIN)
+        val begun =
+            if (inProgress > 0) {
+                WarmUp(now, joinDelay = 0, inProgress.toDouble())
+            } else {
+                WarmUp(now, delay.toLong(), bound)
+            }
+        return copy(running = running.put(upstream, begun))
     }
 
-    /** Whether this entry may have one more request in progress at the upstream. */
+    /** Whether this entry may have one more request in progress at the upstream, of whose target a [warmShare] is warm. */
     fun hasRoom(
         upstream: String,
         inProgress: Int,
+        warmShare: Double,
         now: Long,
-    ): Boolean = !isWarming(upstream, now) || running.getValue(upstream).hasRoom(inProgress, now)
+    ): Boolean = running[upstream]?.takeUnless { it.isOver(now) }?.hasRoom(inProgress, warmShare, now) ?: true
 
     fun isWarming(
         upstream: String,
@@ -117,4 +129,9 @@
         milliseconds: Double,
         expected: Double?,
     ): Double = if (expected == null) 1.0 else milliseconds / expected.coerceAtLeast(1.0)
+
+    private companion object {
+        /** An upstream that failed again gets its first requests over twice the usual time. */
+        const val SLOWEST_JOIN = 0.5
+    }
 }
--- a/routing/src/test/kotlin/hawthorncrank/routing/internal/WarmUpTest.kt
+++ b/routing/src/test/kotlin/hawthorncrank/routing/internal/WarmUpTest.kt
@@ -7,7 +7,7 @@
 
 /** Guards the rules by which the bound of one upstream follows its answers, and the order in which entries join. */
 class WarmUpTest {
-    private val started = WarmUp(startedAt = 0, resumesAt = 0)
+    private val started = WarmUp(startedAt = 0)
 
     @Test
     fun `the requests in progress double with each round of normal answers`() {
@@ -15,7 +15,7 @@
         var inProgress = 0
         val rounds =
             (1..5).map { round ->
-                val sent = (0 until 1_000).takeWhile { warmUp.hasRoom(inProgress + it, round * 100L) }.size
+                val sent = (0 until 1_000).takeWhile { warmUp.hasRoom(inProgress + it, 1.0, round * 100L) }.size
                 inProgress += sent
                 repeat(sent) { warmUp = warmUp.answered(50, 1.0, inProgress, round * 100L + 50) }
                 inProgress
@@ -39,9 +39,9 @@
     fun `below a bound of one, requests pause so that their mean number is the bound`() {
         val failed = started.failed(1_000, 1_000).failed(500, 2_000)
         assertEquals(0.25, failed.bound)
-        assertFalse(failed.hasRoom(0, 3_499))
-        assertTrue(failed.hasRoom(0, 3_500))
-        assertFalse(failed.hasRoom(1, 3_500))
+        assertFalse(failed.hasRoom(0, 1.0, 3_499))
+        assertTrue(failed.hasRoom(0, 1.0, 3_500))
+        assertFalse(failed.hasRoom(1, 1.0, 3_500))
         assertEquals(0.5, failed.answered(100, 1.0, 1, 3_600).bound)
     }
 
