Warm up upstreams that started or recovered, by a setting

Cause: only the entry knows which upstreams are new in a later list, moved to another address, or return after an exclusion or a refusal with a time.

Change: the setting warm_up (off by default) makes the entry tell the router about them and about failed attempts and the number of entries.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
@@ -17,6 +17,8 @@
     val connectFailuresToExclude: Int = 3,
     /** Whether control replicas send the platform's list, which the entry then reads itself only without them. */
     val listFromControl: Boolean = false,
+    /** Whether the requests at an upstream that started or recovered are bounded until it answers as fast as others. */
+    val warmUp: Boolean = false,
     val scheduling: SchedulingPolicy = SchedulingPolicy(),
     val routing: RoutingPolicy = RoutingPolicy(),
 )
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryReducer.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryReducer.kt
@@ -8,6 +8,7 @@
 import hawthorncrank.entry.core.internal.dispatch
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.routing.RouterLocation
+import hawthorncrank.routing.WarmUpSettings
 import hawthorncrank.routing.router
 import hawthorncrank.scheduling.scheduler
 
@@ -34,9 +35,10 @@
     val empty = Configuration()
     val location = RouterLocation(settings.availabilityZone, settings.region)
     val entries = settings.zoneEntries.size
+    val warmUp = if (settings.behaviour.warmUp) WarmUpSettings(settings.name) else null
     return EntryState(
         scheduler = scheduler(empty, settings.behaviour.scheduling),
-        router = router(empty, location, entries, settings.randomSeed, settings.behaviour.routing),
+        router = router(empty, location, entries, settings.randomSeed, settings.behaviour.routing, warmUp),
         zone = ZoneState(liveEntries = entries),
     )
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/Measurement.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Measurement.kt
@@ -36,6 +36,11 @@
         val excluded: Int,
     ) : Measurement
 
+    /** How many upstreams that started or recovered get a bounded number of requests. */
+    data class WarmingUpstreams(
+        val count: Int,
+    ) : Measurement
+
     /** The machine was suspended, or its time of day was set forward. */
     data object Suspended : Measurement
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -18,6 +18,7 @@
 ) {
     val attempt = state.attempts.running[attemptNumber] ?: return
     updateAttempt(attempt.copy(firstByteAt = attempt.firstByteAt ?: now))
+    if (failed) upstreamFailed(attempt)
     state = state.copy(router = state.router.firstTokenReceived(attempt.requestNumber, now))
     val active = currentRequest(attempt) ?: return staleFirstByte(attempt)
     if (!failed) contentsBegan(active.request)
@@ -56,6 +57,7 @@
     val attempt = state.attempts.running[attemptNumber] ?: return
     val active = currentRequest(attempt)
     state = state.copy(attempts = state.attempts.copy(running = state.attempts.running.remove(attemptNumber)))
+    warmUpAttemptFailed(attempt, end)
     removeFromUpstreamLoad(attempt, end)
     if (end is AttemptEnd.Rejected) holdOff(attempt.upstream, end)
     // If an attempt was cancelled or its caller left, only a complete answer is evidence about its upstream.
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationConfirmation.kt
@@ -41,7 +41,8 @@
     if (entries == state.confirmation.entries || entries == 0) return
     state = state.copy(confirmation = state.confirmation.copy(entries = entries))
     val zones = maxOf(1, settings.regions.size)
-    state = state.copy(router = state.router.setLiveEntries((entries + zones - 1) / zones))
+    val router = state.router.setLiveEntries((entries + zones - 1) / zones)
+    state = state.copy(router = router.setFleetEntries(entries))
 }
 
 internal val Reduction.confirmationValid: Boolean
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -117,6 +117,7 @@
     if (now - state.measuredAt < MEASUREMENT_INTERVAL_MILLISECONDS) return
     state = state.copy(measuredAt = now)
     measureUpstreams()
+    recordWarmUps()
     state.configuration.configuration.classes.forEach { trafficClass ->
         val length = state.scheduler.view.queuedOf(trafficClass.name)
         val measurement = Measurement.QueueLength(trafficClass.name, length.requests, length.bytes)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
@@ -23,6 +23,8 @@
         Level.INFO,
         "the entry reads the platform's list itself because control sent none in time",
     ),
+    WARM_UP_BEGAN(1515, Level.INFO, "upstreams warm up and get a bounded number of requests"),
+    WARM_UP_ENDED(1516, Level.INFO, "upstreams are warm and get their full share of requests"),
     ENGINE_CRASHED(1520, Level.WARN, "an engine connection was lost with requests in flight"),
     CONTENT_CONVICTED(1521, Level.ERROR, "request content is refused because it crashed engines"),
     CONTENT_LIMITED(1522, Level.ERROR, "this entry refuses request content that ran on three engines that crashed"),
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/MembershipState.kt
@@ -12,7 +12,8 @@
  * Which upstreams may get work. [live] is null until the platform's list arrives; until then no upstream is excluded
  * for not being listed. [noticedLeaving] holds the expiry time of each neighbour's notice, because notices are never
  * withdrawn. [listedAt] is when the platform's list was last read. [announcedLeaving] holds the upstreams that said in an
- * answer that they leave, which the platform's list may not show yet.
+ * answer that they leave, which the platform's list may not show yet. [warming] holds the upstreams whose warm-up was logged
+ * as begun.
  */
 internal data class MembershipState(
     val live: PersistentSet<String>? = null,
@@ -26,6 +27,7 @@
     val listSource: ListSource = ListSource(),
     val announcedLeaving: PersistentMap<String, LeavingAnnouncement> = persistentMapOf(),
     val observed: PersistentMap<String, Observation> = persistentMapOf(),
+    val warming: PersistentSet<String> = persistentSetOf(),
 )
 
 /**
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamReports.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamReports.kt
@@ -54,6 +54,7 @@
         state.configuration.effective.upstreams
             .filter { mayGetWork(it) != state.router.view.isEligible(it.name) }
     changed.forEach { state = state.copy(router = state.router.setEligible(it.name, mayGetWork(it))) }
+    warmUpReturned(changed.filter(::mayGetWork))
 }
 
 /** When each neighbour last sent a message. For a time after [since], every configured neighbour counts as live. */
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -18,6 +18,7 @@
         listOf(listedEngine("e1"), listedEngine("e2"), listedService("s1"), listedService("s2")),
     classes: List<TrafficClass> = sampleConfiguration().classes,
     listFromControl: Boolean = false,
+    warmUp: Boolean = false,
 ) {
     private val settings =
         EntrySettings(
@@ -35,6 +36,7 @@
                     brokenConnectionIsCrash = false,
                     connectFailuresToExclude = 1,
                     listFromControl = listFromControl,
+                    warmUp = warmUp,
                     scheduling = SchedulingPolicy(preemption = false, floor = false),
                     routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
                 ),
--- a/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
@@ -73,7 +73,7 @@
     routed: Boolean,
 ): EntryBehaviour =
     if (!routed) {
-        EntryBehaviour()
+        EntryBehaviour(warmUp = settings.warmUp)
     } else {
         EntryBehaviour(
             confirmationLifetime = confirmationLifetime(settings.keyRevocation?.value, settings.contactTime?.value),
@@ -82,6 +82,7 @@
             brokenConnectionIsCrash = false,
             connectFailuresToExclude = 1,
             listFromControl = true,
+            warmUp = settings.warmUp,
             scheduling = SchedulingPolicy(preemption = false, floor = false),
             routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
         )
--- a/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
@@ -45,6 +45,9 @@
     @SerialName("stop_time")
     val stopTime: Milliseconds? = null,
     val heartbeat: Milliseconds? = null,
+    /** Whether upstreams that started or recovered get a bounded number of requests until they answer as fast as others. */
+    @SerialName("warm_up")
+    val warmUp: Boolean = false,
 ) {
     /** The link addresses of the control replicas. With [controlPort], [control] only names the VMs. */
     val controlAddresses: List<String>
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryMetrics.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryMetrics.kt
@@ -21,6 +21,7 @@
     private val leavingUpstreams = registry.gauge("hawthorncrank.upstreams.leaving", AtomicInteger())!!
     private val heldOffUpstreams = registry.gauge("hawthorncrank.upstreams.held.off", AtomicInteger())!!
     private val excludedUpstreams = registry.gauge("hawthorncrank.upstreams.excluded", AtomicInteger())!!
+    private val warmingUpstreams = registry.gauge("hawthorncrank.upstreams.warming", AtomicInteger())!!
     private val suspensions = registry.counter("hawthorncrank.suspensions")
     private val controlDelay =
         Timer
@@ -61,6 +62,7 @@
                 heldOffUpstreams.set(measurement.heldOff)
                 excludedUpstreams.set(measurement.excluded)
             }
+            is Measurement.WarmingUpstreams -> warmingUpstreams.set(measurement.count)
             is Measurement.Suspended -> suspensions.increment()
             is Measurement.CrossRegionBytes ->
                 Counter
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/EntryMetricsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/EntryMetricsTest.kt
@@ -30,11 +30,13 @@
     fun `upstreams without work and suspensions are shown`() {
         val metrics = EntryMetrics()
         metrics.record(Measurement.UpstreamsWithoutWork(leaving = 1, heldOff = 2, excluded = 3))
+        metrics.record(Measurement.WarmingUpstreams(4))
         repeat(2) { metrics.record(Measurement.Suspended) }
         val text = metrics.scrape()
         assertContains(text, "hawthorncrank_upstreams_leaving 1.0")
         assertContains(text, "hawthorncrank_upstreams_held_off 2.0")
         assertContains(text, "hawthorncrank_upstreams_excluded 3.0")
+        assertContains(text, "hawthorncrank_upstreams_warming 4.0")
         assertContains(text, "hawthorncrank_suspensions_total 2.0")
     }
 }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/SettingsTest.kt
@@ -41,6 +41,17 @@
         assertEquals(Milliseconds(4_000), settings.unwrap().contactTime)
     }
 
+    /** A value that is no boolean must not switch the warm-up on or off by chance. */
+    @Test
+    fun `the warm-up is off by default and takes only true and false`() {
+        val sample = Path.of("..", "samples", "caroni", "entry-1.toml").readText()
+
+        fun read(line: String) = decodeSettings("f.toml", "$line\n$sample", EntryProgramSettings.serializer())
+        assertEquals(false, read("").unwrap().warmUp)
+        assertEquals(true, read("warm_up = true").unwrap().warmUp)
+        assertIs<SettingsFailure>(read("warm_up = \"often\"").getError())
+    }
+
     @Test
     fun `an error names an unknown key`() {
         val failure = decodeSettings("f.toml", "nam = \"x\"", EntryProgramSettings.serializer()).getError()
