--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -20,6 +20,7 @@
     val attempt = state.attempts.running[attemptNumber] ?: return
     if (accepted) usageBegan(attempt)
     updateAttempt(attempt.copy(firstByteAt = attempt.firstByteAt ?: now))
+    if (failed) upstreamFailed(attempt)
     state = state.copy(router = state.router.firstTokenReceived(attempt.requestNumber, now))
     val active = currentRequest(attempt) ?: return staleFirstByte(attempt)
     if (!failed) contentsBegan(active.request)
@@ -59,6 +60,7 @@
     usageEnded(attempt, end)
     val active = currentRequest(attempt)
     state = state.copy(attempts = state.attempts.copy(running = state.attempts.running.remove(attemptNumber)))
+    warmUpAttemptFailed(attempt, end)
     removeFromUpstreamLoad(attempt, end)
     if (end is AttemptEnd.Rejected) holdOff(attempt.upstream, end)
     // If an attempt was cancelled or its caller left, only a complete answer is evidence about its upstream.
