Read and validate the limits within which engines of a service are ordered

An operator's document may limit the engines of a service by zone and give their prices. They were ignored. They are now decoded into EngineScaling of a RouteService, none by default, and contradictory limits fail the validation. Nothing uses them yet.

--- a/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
@@ -9,6 +9,7 @@
 import hawthorncrank.control.ConfigurationFailure.Missing
 import hawthorncrank.control.ConfigurationFailure.OutOfRange
 import hawthorncrank.control.ConfigurationFailure.UnknownReference
+import hawthorncrank.control.internal.validateScaling
 import hawthorncrank.intents.HIGHEST_TIER
 import hawthorncrank.intents.LOWEST_TIER
 import hawthorncrank.protocol.Configuration
@@ -32,6 +33,7 @@
         validateNames("routes", configuration.routes.map { it.name }) +
         validateNames("route_services", configuration.routeServices.map { it.name }) +
         validateRoutes(configuration, classes) +
+        configuration.routeServices.flatMap(::validateScaling) +
         validateKeyOwners(configuration.organisations) +
         configuration.classes.flatMap(::validateClass) +
         configuration.organisations.flatMap { validateOrganisation(it, classes) } +
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/RequestRoute.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/RequestRoute.kt
@@ -46,12 +46,16 @@
     RESUMABLE,
 }
 
-/** A destination of routes, with upstreams from the platform's list. [servesModels] means that they are engines. */
+/**
+ * A destination of routes, with upstreams from the platform's list. [servesModels] means that they are engines. Their
+ * number is changed only if there is a [scaling].
+ */
 @Serializable
 data class RouteService(
     val name: String,
     @SerialName("serves_models")
     val servesModels: Boolean = false,
+    val scaling: EngineScaling? = null,
 )
 
 /** The name of the traffic class of a service level in a tier. */
