Read from the platform's list which upstreams are reclaimable

Engines that the platform may take away could not be told from others. The revision of a list without such upstreams stays what earlier builds compute, so they need not exchange whole lists during an update; ListedUpstreamTest compares it with the digest of the text that those builds use.

--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
@@ -5,7 +5,10 @@
 import java.nio.ByteBuffer
 import java.security.MessageDigest
 
-/** An upstream as the platform lists it. [service] is the service that it runs. While [leaving] it gets no new work. */
+/**
+ * An upstream as the platform lists it. [service] is the service that it runs. While [leaving] it gets no new work. The
+ * platform may take a [reclaimable] one away.
+ */
 @Serializable
 data class ListedUpstream(
     val name: String,
@@ -15,11 +18,20 @@
     val availabilityZone: String,
     val slots: Int,
     val leaving: Boolean,
-)
+    val reclaimable: Boolean = false,
+) {
+    /** The part of [revision] that describes this upstream, unchanged from builds that don't know [reclaimable]. */
+    internal fun described(): String {
+        val text =
+            "ListedUpstream(name=$name, service=$service, address=$address, availabilityZone=$availabilityZone, " +
+                "slots=$slots, leaving=$leaving"
+        return if (reclaimable) "$text, reclaimable=true)" else "$text)"
+    }
+}
 
 /** A number that is the same for equal lists on all machines, and otherwise differs but for a negligible chance. */
 fun List<ListedUpstream>.revision(): Long {
     val digest = MessageDigest.getInstance("SHA-256")
-    forEach { digest.update("$it\n".toByteArray()) }
+    forEach { digest.update("${it.described()}\n".toByteArray()) }
     return ByteBuffer.wrap(digest.digest()).getLong()
 }
