Order engines by the demand of all entries

The plan of engine counts existed, but nothing reported demand or sent its orders. Entries report once a second, for services with limits, what their started prompts cost engines, which streams run and which prompts wait. Each replica records the sum of its entries, and the holder of the duty plans once a second from that, its list of upstreams and the standing orders. An order is committed before it is sent.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
@@ -7,6 +7,7 @@
 import hawthorncrank.protocol.CallOutcome
 import hawthorncrank.protocol.ClaimKey
 import hawthorncrank.protocol.ConfigurationDelta
+import hawthorncrank.protocol.EngineClassDemand
 import hawthorncrank.protocol.EngineOrder
 import hawthorncrank.protocol.UnansweredRequest
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -221,6 +222,15 @@
         val window: Long,
     ) : ControlOperation
 
+    /** Keeps the demand that [entries] entries linked to [replica] reported. */
+    @Serializable
+    @SerialName("engine-demand")
+    data class RecordDemand(
+        val replica: String,
+        val entries: Int,
+        val classes: List<EngineClassDemand>,
+    ) : ControlOperation
+
     @Serializable
     @SerialName("order-engines")
     data class OrderEngines(
--- a/control/src/main/kotlin/hawthorncrank/control/EngineCountState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/EngineCountState.kt
@@ -3,15 +3,28 @@
 package hawthorncrank.control
 
 import hawthorncrank.control.internal.PersistentMapSerializer
+import hawthorncrank.protocol.EngineClassDemand
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.UseSerializers
 
-/** The numbers of engines that were ordered from the platform. An order is stored before it is sent. */
+/**
+ * The numbers of engines that were ordered from the platform, and the newest demand that each replica collected from its
+ * entries. An order is stored before it is sent.
+ */
 @Serializable
 data class EngineCountState(
     val orders: PersistentMap<EngineGroup, EngineCountOrder> = persistentMapOf(),
+    val demand: PersistentMap<String, RecordedDemand> = persistentMapOf(),
+)
+
+/** Demand by class, summed over [entries] entries. It was recorded at [clock] of the replicated clock. */
+@Serializable
+data class RecordedDemand(
+    val clock: Long,
+    val entries: Int,
+    val classes: List<EngineClassDemand>,
 )
 
 /** The engines of a service in one availability zone. [reclaimable] ones may be taken away by the platform. */
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -119,6 +119,7 @@
     closeLinksWithoutLeader()
     readUpstreamList()
     usageTick()
+    engineDemandTick()
     tickDuties()
     if (now < state.nextDutiesAt) return
     state = state.copy(nextDutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/DutySteps.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/DutySteps.kt
@@ -36,6 +36,7 @@
     if (state.dutyRules == null) return
     takeDuties()
     followHolding()
+    if (holdsDuty(Duty.USAGE_REPORT)) closeUsageWindows()
     startDutyCalls()
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -34,6 +34,7 @@
         is EntryToControl.SuspicionsRefuted -> handleRefutation(event.entry, message)
         is EntryToControl.ConfirmConfiguration -> handleConfirmationRequest(event.link, message)
         is EntryToControl.ListUpstreams -> handleListRequest(event.link, message)
+        is EntryToControl.EngineDemand -> handleEngineDemand(event.link, message)
         is EntryToControl.EntryStatus -> updateStatus(event.link, message)
         is EntryToControl.UsageCounts -> handleUsageCounts(event.link, message)
         is EntryToControl.ExplainAnswer -> handleExplainAnswer(event.link, message)
@@ -152,6 +153,7 @@
 internal fun ControlStep.linkClosed(link: Long) {
     val session = state.entryLinks[link] ?: return
     usageLinkClosed(link)
+    engineDemandLinkClosed(link)
     val remaining = state.entryLinks.remove(link)
     state = state.copy(entryLinks = remaining, confirmation = state.confirmation.without(link))
     if (remaining.values.none { it.entry == session.entry }) {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
@@ -24,7 +24,7 @@
 
 /** What is decided for the platform while this replica holds the duties. Calls follow from what was committed. */
 private fun ControlStep.performDuties() {
-    if (holdsDuty(Duty.USAGE_REPORT)) closeUsageWindows()
+    if (holdsDuty(Duty.AUTOSCALE)) planEngineCounts()
     startDutyCalls()
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
@@ -31,6 +31,7 @@
         is ControlOperation.RecordUsage -> current.recordUsage(operation).done()
         is ControlOperation.CloseUsageWindow -> current.closeUsageWindow(operation).done()
         is ControlOperation.UsageDelivered -> current.usageDelivered(operation).done()
+        is ControlOperation.RecordDemand -> current.recordDemand(operation).done()
         is ControlOperation.OrderEngines -> current.orderEngines(operation, context).done()
         is ControlOperation.EngineOrderAnswered -> current.engineOrderAnswered(operation).done()
         ControlOperation.AdvanceClock -> current.done()
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.capacity.CapacityState
 import hawthorncrank.consensus.ReplicaState
 import hawthorncrank.control.ControlOperation
 import hawthorncrank.control.ControlState
@@ -52,6 +53,9 @@
     /** Null on deployments without duties at the platform. */
     val dutyRules: DutyRules? = null,
     val dutyWork: DutyWork = DutyWork(),
+    val engineDemand: EngineDemandCollection = EngineDemandCollection(),
+    val capacity: CapacityState = CapacityState(),
+    val enginesPlannedAt: Long? = null,
 ) {
     /** This process's estimate of the replicated clock, which never runs ahead of real time. */
     fun clock(now: Long): Long = control.clock + (now - clockAppliedAt)
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.entry.core.internal.ConfirmationState
 import hawthorncrank.entry.core.internal.ControlLink
 import hawthorncrank.entry.core.internal.CrashEvidenceState
+import hawthorncrank.entry.core.internal.EngineDemandState
 import hawthorncrank.entry.core.internal.Explanations
 import hawthorncrank.entry.core.internal.MembershipState
 import hawthorncrank.entry.core.internal.RequestsState
@@ -39,6 +40,7 @@
     internal val stop: StopState = StopState(),
     internal val confirmation: ConfirmationState = ConfirmationState(),
     internal val usage: UsageState = UsageState(),
+    internal val engineDemand: EngineDemandState = EngineDemandState(),
     internal val reportedReady: Boolean = false,
     internal val statusSentAt: Long = 0,
     internal val measuredAt: Long = 0,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -36,6 +36,7 @@
     resume: ResumePoint?,
 ) {
     val request = active.request
+    countEngineDemand(active)
     val number = state.attempts.nextNumber
     val attempt =
         RunningAttempt(
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -97,6 +97,7 @@
     upstreamListTick()
     suspectsTick()
     usageTick()
+    engineDemandTick()
     sendStatus()
     measureState()
 }
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -85,6 +85,12 @@
         val heldRevision: Long?,
     ) : EntryToControl
 
+    /** Sent once a second while the configuration limits the engines of a service. */
+    @Serializable
+    data class EngineDemand(
+        val classes: List<EngineClassDemand>,
+    ) : EntryToControl
+
     /** Sent every 2 s. */
     @Serializable
     data class EntryStatus(
--- a/routing/src/main/kotlin/hawthorncrank/routing/RouterView.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/RouterView.kt
@@ -1,5 +1,7 @@
 package hawthorncrank.routing
 
+import hawthorncrank.scheduling.WorkTarget
+
 /** Read access to the router's state, for metrics and for checks. */
 interface RouterView {
     fun inFlight(upstream: String): Int
@@ -7,6 +9,12 @@
     /** The prompt tokens of this entry's attempts that the upstream has not prefilled yet. */
     fun pendingPrefillTokens(upstream: String): Int
 
+    /** The prompt tokens that the upstream of a running attempt had to prefill, 0 if the attempt is not known. */
+    fun prefillTokens(attemptNumber: Long): Int
+
+    /** The estimated number of prompt tokens that an engine of [target] prefills in a millisecond. */
+    fun prefillSpeed(target: WorkTarget): Double
+
     /** The time between tokens of this entry's attempts on the upstream that was seen last, in milliseconds. */
     fun tokenInterval(upstream: String): Double?
 
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterStateView.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterStateView.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.routing.internal
 
 import hawthorncrank.routing.RouterView
+import hawthorncrank.scheduling.WorkTarget
 
 /** The view of a [RouterState]. */
 internal class RouterStateView(
@@ -10,6 +11,11 @@
 
     override fun pendingPrefillTokens(upstream: String): Int = state.upstreams[upstream]?.pendingPrefillTokens ?: 0
 
+    override fun prefillTokens(attemptNumber: Long): Int = state.attempts[attemptNumber]?.prefillTokens ?: 0
+
+    override fun prefillSpeed(target: WorkTarget): Double =
+        (state.loads[target] ?: TargetLoad()).speed.tokensPerMillisecond
+
     override fun tokenInterval(upstream: String): Double? =
         state.upstreams[upstream]
             ?.observations
