Keep few starts where nobody asks for counts

Entries keep the starts of requests until they know true time. On deployments without usage reports that is never, so they kept 10,000 and moved all of them at each request. The newest 2,000 to 4,000 are kept now, and half are dropped at once. The usage tests of entry-core and all tests of control and operator pass.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Usage.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Usage.kt
@@ -6,7 +6,9 @@
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.UsageCount
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 
@@ -49,18 +51,7 @@
     val offset = usage.trueTime.offset
     val next =
         if (length == null || offset == null) {
-            usage.copy(
-                unassigned =
-                    usage.unassigned.add(start).let {
-                        if (it.size >
-                            STARTS_KEPT
-                        ) {
-                            it.removeAt(0)
-                        } else {
-                            it
-                        }
-                    },
-            )
+            usage.copy(unassigned = usage.unassigned.add(start).newest())
         } else {
             val window = Math.floorDiv(start.at + offset, length)
             usage.change(window, start.organisation) { it.copy(count = it.count + 1) }
@@ -68,6 +59,10 @@
     state = state.copy(usage = next)
 }
 
+/** Where nobody asks for counts, starts are kept for nothing, so that this must cost little. */
+private fun PersistentList<UnassignedStart>.newest(): PersistentList<UnassignedStart> =
+    if (size < STARTS_KEPT) this else takeLast(STARTS_KEPT / 2).toPersistentList()
+
 private fun Reduction.assignStarts() {
     val usage = state.usage
     if (usage.unassigned.isEmpty() || usage.windowLength == null || usage.trueTime.offset == null) return
@@ -189,7 +184,7 @@
 private const val PURGE_INTERVAL_MILLISECONDS = 1_000L
 
 // An entry links to control within seconds of its start, so these are far more than begin until then.
-private const val STARTS_KEPT = 10_000
+private const val STARTS_KEPT = 4_000
 
 // About 60 KB. The rest follows in the next message.
 private const val CELLS_PER_MESSAGE = 1_000
