Start replicas whose settings name a duty that they do not know

A replica did not start if its settings named an unknown duty, or no lease or rate of calls. A platform may have further duties, and then no replica would start and nothing could be configured. Unknown duties are logged and ignored, and a missing lease or rate has a default.

--- a/control/src/main/kotlin/hawthorncrank/control/DutySettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/DutySettings.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.control
 
+import hawthorncrank.common.Milliseconds
 import hawthorncrank.common.SettingsFailure
 import hawthorncrank.common.SettingsFailure.InvalidValue
 import hawthorncrank.consensus.ReplicaSettings
@@ -7,33 +8,37 @@
 
 /** The rules for the duties, or null where the settings name no duty. [machine] is the holder's name at the platform. */
 internal fun ControlSettings.dutyRules(machine: String): DutyRules? {
-    if (duties.isEmpty()) return null
+    if (knownDuties.isEmpty()) return null
     return DutyRules(
         machine,
-        Duty.entries.filter { it.settingsName in duties }.toSet(),
-        requireNotNull(dutyCallsPerSecond),
-        requireNotNull(dutyLease).value,
+        knownDuties,
+        dutyCallsPerSecond ?: DEFAULT_CALLS_PER_SECOND,
+        dutyLease?.value ?: DEFAULT_LEASE_MILLISECONDS,
         usageWindow?.value,
         usageDeadline?.value,
         dutyChecksFencing,
     )
 }
 
+/** A platform may have duties that this build does not know; the others are performed all the same. */
+internal val ControlSettings.knownDuties: Set<Duty>
+    get() = Duty.entries.filter { it.settingsName in duties }.toSet()
+
+internal val ControlSettings.unknownDuties: List<String>
+    get() = duties.filter { name -> Duty.entries.none { it.settingsName == name } }
+
 /** Returns the first invalid setting of the duties. Without duties the other settings have no effect. */
 internal fun ControlSettings.firstDutyFailure(file: String): SettingsFailure? {
-    if (duties.isEmpty()) return null
-    val unknown = duties.firstOrNull { name -> Duty.entries.none { it.settingsName == name } }
-    val names = Duty.entries.joinToString(" and ") { "\"${it.settingsName}\"" }
+    if (knownDuties.isEmpty()) return null
     val rate = dutyCallsPerSecond
     return when {
-        unknown != null -> InvalidValue(file, "duties", "\"$unknown\" is not a duty", "the duties are $names")
         platformAddress == null ->
             InvalidValue(file, "platform_address", "it is missing", "write the address that the duties call")
-        rate == null || !rate.isFinite() || rate <= 0 ->
+        rate != null && (!rate.isFinite() || rate <= 0) ->
             InvalidValue(
                 file,
                 "duty_calls_per_second",
-                "it is ${rate ?: "missing"}",
+                "it is $rate",
                 "write the rate that the platform accepts, above 0",
             )
         else -> firstLeaseFailure(file) ?: firstUsageFailure(file)
@@ -41,10 +46,9 @@
 }
 
 private fun ControlSettings.firstLeaseFailure(file: String): SettingsFailure? {
-    val lease = dutyLease
+    val lease = dutyLease ?: Milliseconds(DEFAULT_LEASE_MILLISECONDS)
     val heartbeat = heartbeat?.value ?: ReplicaSettings(emptyList()).heartbeatInterval
     return when {
-        lease == null -> InvalidValue(file, "duty_lease", "it is missing", "write the lease of the platform's calls")
         lease.value < MINIMUM_LEASE_MILLISECONDS ->
             InvalidValue(file, "duty_lease", "it is $lease", "write at least $MINIMUM_LEASE_MILLISECONDS ms")
         lease.value / DutyRules.CONTACT_SHARE <= heartbeat ->
@@ -59,7 +63,7 @@
 }
 
 private fun ControlSettings.firstUsageFailure(file: String): SettingsFailure? {
-    if (Duty.USAGE_REPORT.settingsName !in duties) return null
+    if (Duty.USAGE_REPORT !in knownDuties) return null
     return listOf("usage_window" to usageWindow, "usage_deadline" to usageDeadline)
         .firstOrNull { (_, value) -> value == null || value.value <= 0 }
         ?.let { (key, value) ->
@@ -67,5 +71,8 @@
         }
 }
 
+private const val DEFAULT_LEASE_MILLISECONDS = 3_000L
+private const val DEFAULT_CALLS_PER_SECOND = 10.0
+
 // A time limit of a call shorter than a third of this would end calls that the platform is about to answer.
 private const val MINIMUM_LEASE_MILLISECONDS = 1_000L
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -20,6 +20,7 @@
 import hawthorncrank.control.UpstreamListSource
 import hawthorncrank.control.formation
 import hawthorncrank.control.formsGroup
+import hawthorncrank.control.unknownDuties
 import hawthorncrank.link.LinkFailure
 import hawthorncrank.protocol.OperatorAnswer
 import hawthorncrank.protocol.OperatorCommand
@@ -77,6 +78,7 @@
                 links.connect()
                 if (settings.formsGroup) localOperators.execute("bootstrap", formGroupCommand()) {}
                 log.record(ControlEventCode.STARTED, "replica" to settings.name, "zone" to settings.availabilityZone)
+                settings.unknownDuties.forEach { log.record(ControlEventCode.DUTY_UNKNOWN, "duty" to it) }
                 this
             }
 
