Order engines only where the settings say so

Engines are now ordered only with order_engines in the settings of the replicas, which no deployment sets.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -38,6 +38,9 @@
     @SerialName("election_timeout")
     val electionTimeout: Milliseconds? = null,
     val duties: List<String> = emptyList(),
+    /** Whether this fleet decides how many engines run. Without it, the duty of ordering them is left to others. */
+    @SerialName("order_engines")
+    val orderEngines: Boolean = false,
     @SerialName("duty_calls_per_second")
     @Serializable(with = RateSerializer::class)
     val dutyCallsPerSecond: Double? = null,
--- a/control/src/main/kotlin/hawthorncrank/control/DutySettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/DutySettings.kt
@@ -20,9 +20,15 @@
     )
 }
 
-/** A platform may have duties that this build does not know; the others are performed all the same. */
+/**
+ * The duties that are performed. A platform may have others, which this build does not know. Engines are ordered only where
+ * [ControlSettings.orderEngines] says so.
+ */
 internal val ControlSettings.knownDuties: Set<Duty>
-    get() = Duty.entries.filter { it.settingsName in duties }.toSet()
+    get() =
+        Duty.entries
+            .filter { it.settingsName in duties && (it != Duty.AUTOSCALE || orderEngines) }
+            .toSet()
 
 internal val ControlSettings.unknownDuties: List<String>
     get() = duties.filter { name -> Duty.entries.none { it.settingsName == name } }
--- a/control/src/test/kotlin/hawthorncrank/control/DutySettingsTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/DutySettingsTest.kt
@@ -23,6 +23,7 @@
         plain.copy(
             platformAddress = "127.0.0.1:81",
             duties = listOf("usage_report", "autoscale"),
+            orderEngines = true,
             dutyCallsPerSecond = 50.0,
             dutyLease = Milliseconds(3_000),
             usageWindow = Milliseconds(5_000),
@@ -43,6 +44,13 @@
         assertNull(plain.dutyRules("core-a-1"))
     }
 
+    /** The plan of engine counts has made callers wait on some loads, so nobody may get it unasked. */
+    @Test
+    fun `engines are ordered only where the settings say so`() {
+        val rules = complete.copy(orderEngines = false).dutyRules("core-a-1")
+        assertEquals(setOf(Duty.USAGE_REPORT), rules?.duties)
+    }
+
     /** A platform with a new duty must not keep the replicas of an older build from starting. */
     @Test
     fun `unknown duties are ignored, and missing limits have defaults`() {
