Check a configuration file before it is sent

The validation moves unchanged from control to intents, which control, platform and operator depend on, so that the check and the control group run the same code.

The whole build was not run.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.common.SettingsFailure.InvalidValue
 import hawthorncrank.consensus.Formation
 import hawthorncrank.control.internal.RateSerializer
+import hawthorncrank.intents.isAddress
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationOperations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationOperations.kt
@@ -5,8 +5,8 @@
 import hawthorncrank.control.HISTORY_LIMIT
 import hawthorncrank.control.HistoryEntry
 import hawthorncrank.control.StagedChange
-import hawthorncrank.control.validateConfiguration
 import hawthorncrank.intents.describeDelta
+import hawthorncrank.intents.validateConfiguration
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.ConfigurationDelta
 import hawthorncrank.protocol.NamedChanges
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationProposals.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ConfigurationProposals.kt
@@ -4,7 +4,7 @@
 import hawthorncrank.control.ControlCommand
 import hawthorncrank.control.ControlOperation
 import hawthorncrank.control.OperatorDocument
-import hawthorncrank.control.validateConfiguration
+import hawthorncrank.intents.validateConfiguration
 import hawthorncrank.protocol.ConfigurationDelta
 import hawthorncrank.protocol.NamedChanges
 import hawthorncrank.protocol.OperatorAnswer
--- a/control/src/main/kotlin/hawthorncrank/control/internal/PlanOperations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/PlanOperations.kt
@@ -4,11 +4,11 @@
 import hawthorncrank.control.ControlState
 import hawthorncrank.control.PlanRecord
 import hawthorncrank.control.PlanStatus
-import hawthorncrank.control.validateConfiguration
 import hawthorncrank.intents.PlanChange
 import hawthorncrank.intents.changesConfiguration
 import hawthorncrank.intents.deltaOn
 import hawthorncrank.intents.reversedOn
+import hawthorncrank.intents.validateConfiguration
 import hawthorncrank.protocol.OperatorAnswer
 
 /** Stores a plan under a new number until an operator confirms it. */
--- a/control/src/test/kotlin/hawthorncrank/control/ControlStateTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/ControlStateTest.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.common.KeyHash
 import hawthorncrank.intents.IntentContext
 import hawthorncrank.intents.planFor
+import hawthorncrank.intents.validateConfiguration
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.ConfigurationDelta
 import hawthorncrank.protocol.EngineOrder
--- a/control/src/main/kotlin/hawthorncrank/control/ConfigurationFailure.kt
+++ b/intents/src/main/kotlin/hawthorncrank/intents/ConfigurationFailure.kt
@@ -1,4 +1,4 @@
-package hawthorncrank.control
+package hawthorncrank.intents
 
 import hawthorncrank.common.Failure
 
--- a/control/src/main/kotlin/hawthorncrank/control/ConfigurationValidation.kt
+++ b/intents/src/main/kotlin/hawthorncrank/intents/ConfigurationValidation.kt
@@ -1,17 +1,15 @@
-package hawthorncrank.control
+package hawthorncrank.intents
 
 import hawthorncrank.common.KeyHash
-import hawthorncrank.control.ConfigurationFailure.DuplicateName
-import hawthorncrank.control.ConfigurationFailure.InvalidName
-import hawthorncrank.control.ConfigurationFailure.InvalidValue
-import hawthorncrank.control.ConfigurationFailure.MalformedAddress
-import hawthorncrank.control.ConfigurationFailure.MalformedKeyHash
-import hawthorncrank.control.ConfigurationFailure.Missing
-import hawthorncrank.control.ConfigurationFailure.OutOfRange
-import hawthorncrank.control.ConfigurationFailure.UnknownReference
-import hawthorncrank.control.internal.validateScaling
-import hawthorncrank.intents.HIGHEST_TIER
-import hawthorncrank.intents.LOWEST_TIER
+import hawthorncrank.intents.ConfigurationFailure.DuplicateName
+import hawthorncrank.intents.ConfigurationFailure.InvalidName
+import hawthorncrank.intents.ConfigurationFailure.InvalidValue
+import hawthorncrank.intents.ConfigurationFailure.MalformedAddress
+import hawthorncrank.intents.ConfigurationFailure.MalformedKeyHash
+import hawthorncrank.intents.ConfigurationFailure.Missing
+import hawthorncrank.intents.ConfigurationFailure.OutOfRange
+import hawthorncrank.intents.ConfigurationFailure.UnknownReference
+import hawthorncrank.intents.internal.validateScaling
 import hawthorncrank.protocol.Configuration
 import hawthorncrank.protocol.Organisation
 import hawthorncrank.protocol.RequestRoute
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ScalingValidation.kt
+++ b/intents/src/main/kotlin/hawthorncrank/intents/internal/ScalingValidation.kt
@@ -1,7 +1,7 @@
-package hawthorncrank.control.internal
+package hawthorncrank.intents.internal
 
-import hawthorncrank.control.ConfigurationFailure
-import hawthorncrank.control.ConfigurationFailure.InvalidValue
+import hawthorncrank.intents.ConfigurationFailure
+import hawthorncrank.intents.ConfigurationFailure.InvalidValue
 import hawthorncrank.protocol.RouteService
 
 /** Returns the errors of the limits within which the engines of [service] are ordered. */
--- a/operator/src/main/kotlin/hawthorncrank/operator/internal/GroupCommands.kt
+++ b/operator/src/main/kotlin/hawthorncrank/operator/internal/GroupCommands.kt
@@ -52,10 +52,10 @@
 
 internal class ConfigurationCommand : CliktCommand("configuration") {
     init {
-        subcommands(ShowCommand(), ProposeCommand())
+        subcommands(ShowCommand(), CheckCommand(), ProposeCommand())
     }
 
-    override fun help(context: Context) = "Show or change the configuration"
+    override fun help(context: Context) = "Show, check or change the configuration"
 
     override fun run() = Unit
 }
