Mask key hashes in the output of the configuration check

Cause: a key hash that stands in the wrong field, for example as a name or a class, was quoted by the validation and by the names of differences.

Change: hashes of both kinds are masked in findings and differences.

--- a/operator/src/main/kotlin/hawthorncrank/operator/internal/ConfigurationCheck.kt
+++ b/operator/src/main/kotlin/hawthorncrank/operator/internal/ConfigurationCheck.kt
@@ -14,9 +14,11 @@
  */
 internal fun checkConfiguration(configuration: Configuration): List<ConfigurationFinding> {
     val canonical = configuration.canonical()
-    return validateConfiguration(configuration).map(::errorOf) +
-        findUnreachable(canonical) +
-        findContradictions(canonical)
+    val findings =
+        validateConfiguration(configuration).map(::errorOf) +
+            findUnreachable(canonical) +
+            findContradictions(canonical)
+    return findings.map { it.withoutHashes() }
 }
 
 /** Names what differs in [next] from [current]. */
@@ -27,7 +29,7 @@
     describeDelta(
         configurationDelta(baseVersion = 0, current.canonical(), version = 1, next.canonical()),
         limit = Int.MAX_VALUE,
-    )
+    ).map(::withoutHashes)
 
 internal fun errorOf(failure: Failure) =
     ConfigurationFinding(
--- a/operator/src/test/kotlin/hawthorncrank/operator/internal/ConfigurationCheckTest.kt
+++ b/operator/src/test/kotlin/hawthorncrank/operator/internal/ConfigurationCheckTest.kt
@@ -102,6 +102,25 @@
         }
     }
 
+    /** Guards against a key hash in the output because it stands in a field that messages quote. */
+    @Test
+    fun `a key hash in the wrong field is not printed`() {
+        val cases =
+            mapOf(
+                "hash as a name" to { hash: String -> withOrganisation { copy(name = hash) } },
+                "hash as a class" to { hash: String -> withOrganisation { copy(classes = classes + hash) } },
+                "hash as a service" to { hash: String -> withRoute { copy(destinations = listOf(Destination(hash))) } },
+            )
+        cases.forEach { (case, configuration) ->
+            listOf(HASH, KeyHash.digest("desk.key")).forEach { hash ->
+                val found = checkConfiguration(configuration(hash))
+                val printed = found.toString() + differencesBetween(SOUND, configuration(hash))
+                assertContains(printed, "(key hash)", message = case)
+                assertFalse(hash.takeLast(DIGITS) in printed, "$case: $printed")
+            }
+        }
+    }
+
     /** Guards against errors without a place in the file, and against key hashes in a message of the parser. */
     @Test
     fun `an unreadable file is reported with line and field and without its content`() {
@@ -216,6 +235,7 @@
 
     private companion object {
         const val SECRET = "pbkdf2\$10\$c2VjcmV0\$not-a-hash"
+        const val DIGITS = 20
         val HASH = KeyHash.hash("key", iterations = 10)
         val CLOCK =
             object : MillisecondClock {
