--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.core
 
 import hawthorncrank.protocol.ControlToEntry
+import hawthorncrank.protocol.EngineScaling
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.RouteService
@@ -19,6 +20,7 @@
     classes: List<TrafficClass> = sampleConfiguration().classes,
     listFromControl: Boolean = false,
     warmUp: Boolean = false,
+    scaling: EngineScaling? = null,
 ) {
     private val settings =
         EntrySettings(
@@ -48,7 +50,7 @@
         sampleConfiguration().copy(
             upstreams = emptyList(),
             classes = classes,
-            routeServices = listOf(RouteService("model", servesModels = true), RouteService("orders")),
+            routeServices = listOf(RouteService("model", servesModels = true, scaling), RouteService("orders")),
         )
 
     init {
@@ -99,9 +101,11 @@
         policy: RetryPolicy,
         finishBy: Long? = now + 10_000,
         sharedParts: List<String> = emptyList(),
+        promptTokens: Int = 20,
+        className: String = "quick",
     ): List<EntryEffect> {
-        val target = RequestTarget.Model("model", 20, 20, emptyList())
-        return arrive(number, target, policy, streamed = true, finishBy, sharedParts)
+        val target = RequestTarget.Model("model", promptTokens, 20, emptyList())
+        return arrive(number, target, policy, streamed = true, finishBy, sharedParts, className)
     }
 
     private fun arrive(
@@ -111,12 +115,13 @@
         streamed: Boolean,
         finishBy: Long?,
         sharedParts: List<String> = emptyList(),
+        className: String = "quick",
     ): List<EntryEffect> {
         val request =
             CallerRequest(
                 number,
                 "lumen",
-                "quick",
+                className,
                 target,
                 "content-$number",
                 100,
