Test orders for demand on real replicas

The way from reported demand to orders had no test. VirtualGroup takes the duties and reports calls. The recent demand is read by a function of the process state, without a change of behaviour.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/EngineCountDuty.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EngineCountDuty.kt
@@ -51,16 +51,20 @@
     ServiceObservation(
         service,
         scaling,
-        demand(service),
+        state.recentDemand(service, now),
         listedEngines(service),
         state.upstreamList.readAt?.let { now - it },
         standingOrders(service),
     )
 
-private fun ControlStep.demand(service: String): ServiceDemand? {
-    val clock = state.clock(now)
+/** Demand for engines of [service] that replicas have recorded in the last seconds, or null if there is none. */
+internal fun ProcessState.recentDemand(
+    service: String,
+    now: Long,
+): ServiceDemand? {
+    val clock = clock(now)
     val recent =
-        state.control.engineCounts.demand.values
+        control.engineCounts.demand.values
             .filter { clock - it.clock <= RECENT_DEMAND_MILLISECONDS }
     if (recent.isEmpty()) return null
     val classes = summed(recent.flatMap { it.classes }.filter { it.service == service })
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -25,6 +25,8 @@
     initialMembers: List<String>? = null,
     private val timeouts: ReplicaSettings = ReplicaSettings(emptyList()),
     private val usage: UsageRules? = null,
+    private val duties: DutyRules? = null,
+    private val onCall: (replica: String, call: DutyCall) -> Unit = { _, _ -> },
 ) {
     private val names = List(size) { "control-${it + 1}" }
     private val peers = names.map { ReplicaPeer(it, address(it)) }
@@ -63,6 +65,7 @@
                     requiredVoters = requiredVoters,
                     entryReleaseDelay = entryReleaseDelay(settings),
                     usage = usage?.let { UsageCollection(it) },
+                    dutyRules = duties?.copy(machine = "core-${node.name}"),
                 )
             val transition = startedProcess(replica, node.state, started.effects, now)
             node.state = transition.state
@@ -174,8 +177,8 @@
             is ControlEffect.PostOrder -> postedOrders += effect
             is ControlEffect.CloseLink -> closedLinks += effect.link
             is ControlEffect.ReadyToStop -> readyToStop += node.name
-            is ControlEffect.CallPlatform, is ControlEffect.CountDutyCall -> Unit
-            is ControlEffect.MeasureCommand, is ControlEffect.Record -> Unit
+            is ControlEffect.CallPlatform -> onCall(node.name, effect.call)
+            is ControlEffect.CountDutyCall, is ControlEffect.MeasureCommand, is ControlEffect.Record -> Unit
         }
     }
 
