Withdraw orders of engines that a former holder could not commit

Cause: a leader that was cut off kept its uncommitted orders and proposed them again for 30 s, also through the next leader. Committed then, they would replace what the new holder has ordered since, and could reduce engines that it needs.

Change: a leader that steps down withdraws them, as it does its request for the duties.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/DutySteps.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/DutySteps.kt
@@ -46,9 +46,12 @@
     proposeOwn("$TAKE_PREFIX${state.replica.term}", ControlOperation.TakeDuties(rules.machine))
 }
 
-/** A former leader must not forward its request to the new one, which would have to take the duties again. */
-internal fun ControlStep.withdrawTakingDuties() {
-    val own = state.pending.keys.filter { it.startsWith(TAKE_PREFIX) }
+/**
+ * A former leader must not forward its proposals to the new one, which would have to take the duties again, and whose
+ * orders of engines would be replaced by older ones.
+ */
+internal fun ControlStep.withdrawDutyProposals() {
+    val own = state.pending.keys.filter { it.startsWith(TAKE_PREFIX) || it.startsWith(ENGINE_ORDER_PREFIX) }
     state = state.copy(pending = own.fold(state.pending) { pending, identifier -> pending.remove(identifier) })
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EngineCountDuty.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EngineCountDuty.kt
@@ -17,7 +17,7 @@
 internal fun ControlStep.planEngineCounts() {
     state = state.copy(upstreamList = state.upstreamList.copy(wantedAt = now))
     if (now - (state.enginesPlannedAt ?: 0) < PLAN_INTERVAL_MILLISECONDS) return
-    if (state.pending.keys.any { it.startsWith(ORDER_PREFIX) }) return
+    if (state.pending.keys.any { it.startsWith(ENGINE_ORDER_PREFIX) }) return
     val observations =
         state.control.configuration.routeServices
             .mapNotNull { service -> service.scaling?.let { observation(service.name, it) } }
@@ -40,7 +40,7 @@
                 ?.count,
         "reason" to order.reason,
     )
-    val identifier = "$ORDER_PREFIX${group.service}/${group.availabilityZone}/${group.reclaimable}/$now"
+    val identifier = "$ENGINE_ORDER_PREFIX${group.service}/${group.availabilityZone}/${group.reclaimable}/$now"
     proposeOwn(identifier, ControlOperation.OrderEngines(group, order.count))
 }
 
@@ -101,7 +101,7 @@
             EnginePool(group.availabilityZone, group.reclaimable) to StandingOrder(order.count, order.number, refused)
         }.toMap()
 
-private const val ORDER_PREFIX = "order-engines/"
+internal const val ENGINE_ORDER_PREFIX = "order-engines/"
 private const val PLAN_INTERVAL_MILLISECONDS = 1_000L
 
 // A replica records once a second, and its entries may have moved to others when it stops doing so.
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ReplicaBridge.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ReplicaBridge.kt
@@ -124,7 +124,7 @@
 private fun ControlStep.becameFollower(effect: ReplicaEffect.BecameFollower) {
     record(ControlEventCode.BECAME_FOLLOWER, "term" to effect.term, "leader" to effect.leader?.name)
     state = state.copy(leaderSince = null)
-    withdrawTakingDuties()
+    withdrawDutyProposals()
     if (effect.leader == null) return
     retryProposalsNow()
     retryConfirmationNow()
