--- a/control/src/main/kotlin/hawthorncrank/control/EngineCountState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/EngineCountState.kt
@@ -17,7 +17,10 @@
 data class EngineCountState(
     val orders: PersistentMap<EngineGroup, EngineCountOrder> = persistentMapOf(),
     val demand: PersistentMap<String, RecordedDemand> = persistentMapOf(),
-)
+) {
+    internal fun ordered(reclaimable: Boolean): Int =
+        orders.entries.filter { it.key.reclaimable == reclaimable }.sumOf { it.value.count }
+}
 
 /** Demand by class, summed over [entries] entries. It was recorded at [clock] of the replicated clock. */
 @Serializable
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -44,6 +44,8 @@
             process.control.usage.closed
                 .count { !it.value.delivered }
         }
+        enginesOrdered("regular", reclaimable = false)
+        enginesOrdered("reclaimable", reclaimable = true)
         Gauge.builder("hawthorncrank.log.records.dropped", droppedRecords).strongReference(true).register(registry)
         gauge("entries_behind") { process -> process.entryLinks.count { it.value.behindSince != null } }
     }
@@ -68,6 +70,15 @@
 
     fun scrape(): String = registry.scrape()
 
+    /** The newest orders of all services and zones, whether or not the platform has carried them out. */
+    private fun enginesOrdered(
+        kind: String,
+        reclaimable: Boolean,
+    ) {
+        val count = { state().control.engineCounts.ordered(reclaimable) }
+        Gauge.builder("hawthorncrank.control.engines_ordered", count).tag("kind", kind).register(registry)
+    }
+
     private fun gauge(
         name: String,
         read: (ProcessState) -> Number,
--- a/control/src/test/kotlin/hawthorncrank/control/internal/EngineDemandHistoryTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/EngineDemandHistoryTest.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.control.internal.ScaledEngines.Companion.SERVICE
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
 import kotlin.test.assertNotNull
@@ -30,6 +31,14 @@
         assertEquals(6, demand.classes.single().runningStreams)
         assertTrue(ordered() >= 8, "${ordered()} engines for six busy ones")
         assertTrue(orders().all { it.status == EngineCountStatus.ACCEPTED })
+        val metrics = ControlMetrics({ engines.leader() }, { 0 }).scrape()
+        val regular =
+            engines
+                .leader()
+                .control.engineCounts
+                .ordered(reclaimable = false)
+        assertContains(metrics, "hawthorncrank_control_engines_ordered{kind=\"regular\"} $regular.0")
+        assertContains(metrics, "hawthorncrank_control_engines_ordered{kind=\"reclaimable\"} ${ordered() - regular}.0")
         assertEquals(setOf(group.leader()), engines.calls.map { it.replica }.toSet())
     }
 
