--- a/capacity/src/main/kotlin/hawthorncrank/capacity/internal/PlannedService.kt
+++ b/capacity/src/main/kotlin/hawthorncrank/capacity/internal/PlannedService.kt
@@ -73,12 +73,7 @@
         EngineNeed(state.needs.maxOf { it.need.total }, state.needs.maxOf { it.need.regular })
 
     fun plan(): PlannedService {
-        val lost =
-            pools.filter {
-                state.pools[it]?.isLost(
-                    now,
-                ) == true && standing[it] < state.pools.getValue(it).count
-            }
+        val lost = pools.filter(::isBelowLostOrder)
         val lowered = lost.map { order(it, standing[it], OrderReason.LOST) }
         val optimum = cheapestEngines(need, scaling, ::limit)
         val enough = standing.suffices(need)
@@ -91,6 +86,11 @@
         return PlannedService(next, reduction)
     }
 
+    private fun isBelowLostOrder(pool: EnginePool): Boolean {
+        val known = state.pools[pool] ?: return false
+        return known.isLost(now) && standing[pool] < known.count
+    }
+
     /** What was ordered, as far as the platform is still expected to provide it. */
     private fun standingCount(pool: EnginePool): Int {
         val ready = observation.engines[pool]?.ready ?: 0
@@ -110,11 +110,8 @@
         enough: Boolean,
     ): EngineCounts {
         val kept = standing.trimmed(need, scaling) { _, _ -> true }
-        if (enough &&
-            kept.cost(scaling) <= optimum.cost(scaling) * REPLACEMENT_COST_RATIO
-        ) {
-            return filled(standing, optimum)
-        }
+        val savesLittle = kept.cost(scaling) <= optimum.cost(scaling) * REPLACEMENT_COST_RATIO
+        if (enough && savesLittle) return filled(standing, optimum)
         val larger = filled(counts { max(standing[it], optimum[it]) }, optimum)
         return if (enough) larger else larger.trimmed(need, scaling) { pool, count -> count >= standing[pool] }
     }
