Close a connection on which bytes follow an invalid answer

Since an answer with an invalid status is told apart, the decoder went on reading what followed any invalid head until the client closed the connection. It now discards it and closes the connection when more arrives, as after a complete answer, with the same code.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerDecoder.kt
@@ -48,7 +48,7 @@
         out.forEach { decoded ->
             if (decoded is HttpResponse) interim = decoded.status().codeClass() == HttpStatusClass.INFORMATIONAL
         }
-        if (out.any { it is HttpResponse && it.decoderResult().isFailure }) return invalid(context)
+        if (out.any { it is HttpResponse && it.decoderResult().isFailure }) return discardRest(context, buffer)
         if (!interim && out.lastOrNull() is LastHttpContent) answerEnded(context, buffer)
     }
 
@@ -76,12 +76,16 @@
     ) {
         awaited = null
         progress.answerComplete = true
-        if (!buffer.isReadable) return
-        buffer.skipBytes(buffer.readableBytes())
-        Connection.from(context.channel()).markPersistent(false)
+        if (buffer.isReadable) discardRest(context, buffer)
     }
 
-    private fun invalid(context: ChannelHandlerContext) {
+    /** Bytes that still arrive belong to no answer, so the connection is closed when there are some. */
+    private fun discardRest(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+    ) {
+        awaited = null
+        buffer.skipBytes(buffer.readableBytes())
         Connection.from(context.channel()).markPersistent(false)
     }
 
