--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerBudget.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/AnswerBudget.kt
@@ -49,9 +49,10 @@
         }
 
         private fun change(count: Long) {
+            if (bytes == 0L && count > 0) holding.add(this)
+            if (count == 0L) holding.remove(this)
             held += count - bytes
             bytes = count
-            if (count > 0) holding.add(this) else holding.remove(this)
         }
     }
 }
