Report demand for engines only where replicas order them

A replica that orders engines now asks for reports on each link, as for usage counts. The services with limits are looked up once for a report and no longer for each request. EngineDemandTest has a case that nothing is sent unasked; its other cases ask first and keep their assertions.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/EngineDemandDuty.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EngineDemandDuty.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.control.ControlOperation
 import hawthorncrank.control.Duty
+import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EngineClassDemand
 import hawthorncrank.protocol.EntryToControl
 
@@ -10,6 +11,10 @@
  * sees that of all entries, also right after a change of the holder.
  */
 
+internal fun ControlStep.askForEngineDemand(link: Long) {
+    if (ordersEngines()) send(link, ControlToEntry.EngineDemandWanted)
+}
+
 internal fun ControlStep.handleEngineDemand(
     link: Long,
     message: EntryToControl.EngineDemand,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -77,6 +77,7 @@
     if (state.control.questionedSuspects().isNotEmpty()) sendSuspicions(event.link)
     sendDrains(event.link)
     askForUsage(event.link)
+    askForEngineDemand(event.link)
     confirmEntries(listOf(event.link))
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -56,6 +56,7 @@
         is ControlToEntry.ConvictionUpdate -> convictionsUpdated(message)
         is ControlToEntry.SuspicionUpdate -> suspicionsUpdated(message)
         is ControlToEntry.DrainUpdate -> drainsUpdated(message)
+        ControlToEntry.EngineDemandWanted -> engineDemandWanted()
         is ControlToEntry.UsageWanted -> usageWanted(message)
         is ControlToEntry.UsageTime -> usageTimeAnswered(message)
         is ControlToEntry.UsageRecorded -> usageRecorded(message)
@@ -77,6 +78,7 @@
 private fun Reduction.controlLinkOpened() {
     state = state.copy(controlLink = ControlLink(open = true, number = state.controlLink.number + 1))
     usageLinkOpened()
+    engineDemandLinkOpened()
     sendHello()
     requestConfirmation()
     requestUpstreamList()
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EngineDemand.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EngineDemand.kt
@@ -14,32 +14,41 @@
 
 /** Counts the tokens that the engine of a started attempt has to prefill. */
 internal fun Reduction.countEngineDemand(active: ActiveRequest) {
-    val demandClass = demandClass(active.request) ?: return
+    if (!state.engineDemand.wanted) return
+    val demandClass = demandClass(active.request, scaledServices()) ?: return
     val tokens = state.router.view.prefillTokens(active.number)
     val counted = state.engineDemand.prefillTokens
     val next = counted.put(demandClass, (counted[demandClass] ?: 0) + tokens)
     state = state.copy(engineDemand = state.engineDemand.copy(prefillTokens = next))
 }
 
+internal fun Reduction.engineDemandWanted() {
+    state = state.copy(engineDemand = EngineDemandState(wanted = true, sentAt = now))
+}
+
+/** The replica of the new link may not want reports. */
+internal fun Reduction.engineDemandLinkOpened() {
+    state = state.copy(engineDemand = EngineDemandState())
+}
+
 internal fun Reduction.engineDemandTick() {
-    if (scaledServices().isEmpty()) return
-    val sentAt = state.engineDemand.sentAt
-    if (sentAt == null) {
-        state = state.copy(engineDemand = EngineDemandState(sentAt = now))
-        return
-    }
-    val elapsed = now - sentAt
-    if (elapsed < REPORT_INTERVAL_MILLISECONDS) return
-    val classes = demands(elapsed)
-    state = state.copy(engineDemand = EngineDemandState(sentAt = now))
-    if (state.controlLink.open) emit(EntryEffect.SendToControl(EntryToControl.EngineDemand(classes)))
+    val elapsed = now - state.engineDemand.sentAt
+    if (!state.engineDemand.wanted || elapsed < REPORT_INTERVAL_MILLISECONDS) return
+    val services = scaledServices()
+    val classes = demands(services, elapsed)
+    state = state.copy(engineDemand = EngineDemandState(wanted = true, sentAt = now))
+    if (services.isEmpty() || !state.controlLink.open) return
+    emit(EntryEffect.SendToControl(EntryToControl.EngineDemand(classes)))
 }
 
-private fun Reduction.demands(elapsed: Long): List<EngineClassDemand> {
+private fun Reduction.demands(
+    services: Set<String>,
+    elapsed: Long,
+): List<EngineClassDemand> {
     val running = HashMap<DemandClass, Int>()
     val waiting = HashMap<DemandClass, Long>()
     state.requests.active.values.forEach { active ->
-        val demandClass = demandClass(active.request) ?: return@forEach
+        val demandClass = demandClass(active.request, services) ?: return@forEach
         when (active.phase) {
             is RequestPhase.Running -> running.merge(demandClass, 1, Int::plus)
             RequestPhase.Queued -> waiting.merge(demandClass, ownTokens(active.request), Long::plus)
@@ -67,9 +76,12 @@
     return (model.promptTokens - model.sharedTokens).coerceAtLeast(0).toLong()
 }
 
-private fun Reduction.demandClass(request: CallerRequest): DemandClass? {
+private fun Reduction.demandClass(
+    request: CallerRequest,
+    services: Set<String>,
+): DemandClass? {
     val model = (request.target as? RequestTarget.Model)?.model ?: return null
-    if (model !in scaledServices()) return null
+    if (model !in services) return null
     val trafficClass = trafficClass(request)
     return DemandClass(
         model,
@@ -79,9 +91,9 @@
     )
 }
 
-private fun Reduction.scaledServices(): List<String> =
+private fun Reduction.scaledServices(): Set<String> =
     state.configuration.effective.routeServices
         .filter { it.scaling != null }
-        .map { it.name }
+        .mapTo(HashSet()) { it.name }
 
 private const val REPORT_INTERVAL_MILLISECONDS = 1_000L
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/EngineDemandTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/EngineDemandTest.kt
@@ -2,6 +2,7 @@
 
 import hawthorncrank.common.Milliseconds
 import hawthorncrank.entry.core.RoutedScenario.Companion.RESUMABLE
+import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EngineClassDemand
 import hawthorncrank.protocol.EngineScaling
 import hawthorncrank.protocol.EntryToControl
@@ -17,13 +18,26 @@
     @Test
     fun `nothing is sent while no service has limits`() {
         val unlimited = RoutedScenario()
+        unlimited.control(ControlToEntry.EngineDemandWanted)
         unlimited.stream(1, RESUMABLE)
         assertEquals(emptyList(), unlimited.pass(5_000).toControl<EntryToControl.EngineDemand>())
     }
 
+    /** Replicas that order no engines have no use for the messages either, though the services have limits. */
+    @Test
+    fun `nothing is sent before control asks for it, nor to the next replica that does not`() {
+        scenario.stream(1, RESUMABLE)
+        assertEquals(emptyList(), reports(5_000))
+        want()
+        assertEquals(1, reports(1_000).size)
+        scenario.send(EntryEvent.ControlLinkClosed)
+        scenario.send(EntryEvent.ControlLinkOpened)
+        assertEquals(emptyList(), reports(5_000))
+    }
+
     @Test
     fun `the demand of each class is sent once a second`() {
-        scenario.send(EntryEvent.Tick)
+        want()
         scenario.stream(1, RESUMABLE, promptTokens = 4_000)
         scenario.stream(2, RESUMABLE, promptTokens = 2_000, className = "patient")
         scenario.stream(3, RESUMABLE, promptTokens = 2_000, className = "patient")
@@ -39,7 +53,7 @@
     /** A prompt that is counted twice would order an engine for work that is done. */
     @Test
     fun `prompts count in one report and streams while they run`() {
-        scenario.send(EntryEvent.Tick)
+        want()
         val attempt = scenario.stream(1, RESUMABLE, promptTokens = 4_000).start().attemptNumber
         assertEquals(listOf(demand(tier = 1, share = 0.2, running = 1)), reports(1_000).single())
         assertEquals(listOf(demand(tier = 1, share = 0.0, running = 1)), reports(1_000).single())
@@ -52,7 +66,7 @@
     @Test
     fun `prompts that wait for an engine are reported with their prefill time`() {
         val busy = RoutedScenario(listOf(listedEngine("e1").copy(slots = 1)), scaling = scaling)
-        busy.send(EntryEvent.Tick)
+        busy.control(ControlToEntry.EngineDemandWanted)
         listOf(4_000, 2_000, 6_000).forEachIndexed { index, tokens ->
             busy.stream(index + 1L, RESUMABLE, promptTokens = tokens)
         }
@@ -64,21 +78,24 @@
     /** Prompts of a time without a link must not look like a burst when the link is back. */
     @Test
     fun `what was not sent is not added to the next report`() {
-        scenario.send(EntryEvent.Tick)
+        want()
         scenario.send(EntryEvent.ControlLinkClosed)
         scenario.stream(1, RESUMABLE, promptTokens = 4_000)
         assertEquals(emptyList(), reports(1_000))
         scenario.send(EntryEvent.ControlLinkOpened)
+        want()
         assertEquals(listOf(demand(tier = 1, share = 0.0, running = 1)), reports(1_000).single())
     }
 
     @Test
     fun `calls of services without limits are not reported`() {
-        scenario.send(EntryEvent.Tick)
+        want()
         scenario.call(1, RESUMABLE)
         assertEquals(emptyList(), reports(1_000).single())
     }
 
+    private fun want() = scenario.control(ControlToEntry.EngineDemandWanted)
+
     private fun reports(milliseconds: Long): List<List<EngineClassDemand>> =
         scenario.pass(milliseconds).toControl<EntryToControl.EngineDemand>().map { it.classes }
 
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -97,6 +97,10 @@
         val window: Long,
     ) : ControlToEntry
 
+    /** Asks the entry to send [EntryToControl.EngineDemand] on this link. */
+    @Serializable
+    data object EngineDemandWanted : ControlToEntry
+
     /** Answers [EntryToControl.UsageCounts] at once. [trueTime] is null while the replica has no estimate. */
     @Serializable
     data class UsageTime(
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -85,7 +85,10 @@
         val heldRevision: Long?,
     ) : EntryToControl
 
-    /** Sent once a second while the configuration limits the engines of a service. */
+    /**
+     * Sent once a second while the configuration limits the engines of a service, only after
+     * [ControlToEntry.EngineDemandWanted].
+     */
     @Serializable
     data class EngineDemand(
         val classes: List<EngineClassDemand>,
