Count undelivered windows and name the duties in one place

The number was computed three times, the names of the duties stood in three places, and two fields of DutyRules had no reader. The tests of duties, usage and event codes pass.

--- a/control/src/main/kotlin/hawthorncrank/control/DutySettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/DutySettings.kt
@@ -14,8 +14,6 @@
         knownDuties,
         dutyCallsPerSecond ?: DEFAULT_CALLS_PER_SECOND,
         dutyLease?.value ?: DEFAULT_LEASE_MILLISECONDS,
-        usageWindow?.value,
-        usageDeadline?.value,
         dutyChecksFencing,
     )
 }
--- a/control/src/main/kotlin/hawthorncrank/control/UsageState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/UsageState.kt
@@ -20,7 +20,11 @@
     val counted: PersistentMap<Long, PersistentMap<UsageCounter, Long>> = persistentMapOf(),
     val closedThrough: Long? = null,
     val closed: PersistentMap<Long, UsageReport> = persistentMapOf(),
-)
+) {
+    /** The number of closed windows whose reports the platform has not accepted. */
+    internal val undelivered: Int
+        get() = closed.values.count { !it.delivered }
+}
 
 /** One start of an entry and one organisation. */
 @Serializable
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
@@ -40,8 +40,8 @@
     EFFECT_FAILED(2072, Level.ERROR, "an effect could not be carried out"),
     MESSAGE_REFUSED(2073, Level.WARN, "message type is not allowed for the role of its sender"),
     HAND_OVER_UNFINISHED(2074, Level.WARN, "this replica stops although no other has taken its place yet"),
-    DUTY_UNKNOWN(2087, Level.WARN, "the settings name a duty that this program does not know"),
     ENGINES_ORDERED(2086, Level.INFO, "a number of engines was decided and is ordered from the platform"),
+    DUTY_UNKNOWN(2087, Level.WARN, "the settings name a duty that this program does not know"),
     USAGE_WINDOW_CLOSED(2090, Level.INFO, "usage window closed"),
     USAGE_TOO_LATE(2091, Level.WARN, "counts of requests came after their window was closed"),
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -33,17 +33,10 @@
         gauge("usage_late_cells") { it.usage?.lateCells ?: 0 }
         gauge("usage_late_requests") { it.usage?.lateRequests ?: 0 }
         gauge("usage_waiting_cells") { it.usage?.waiting?.size ?: 0 }
-        gauge("usage_undelivered_windows") { process ->
-            process.control.usage.closed
-                .count { !it.value.delivered }
-        }
+        gauge("usage_undelivered_windows") { it.control.usage.undelivered }
         gauge("entries_linked") { it.entryLinks.size }
         gauge("duty_holder") { if (it.holdsDuties()) 1 else 0 }
         gauge("duty_token") { it.control.duties.token }
-        gauge("usage_windows_undelivered") { process ->
-            process.control.usage.closed
-                .count { !it.value.delivered }
-        }
         enginesOrdered("regular", reclaimable = false)
         enginesOrdered("reclaimable", reclaimable = true)
         Gauge.builder("hawthorncrank.log.records.dropped", droppedRecords).strongReference(true).register(registry)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/DutyCall.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/DutyCall.kt
@@ -1,11 +1,13 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.control.Duty
 import hawthorncrank.control.DutyAnswer
 import hawthorncrank.control.EngineCountCall
 import hawthorncrank.control.UsageCall
 
 /** One call to the platform under the holder's [token]. */
 internal sealed interface DutyCall {
+    val duty: Duty
     val token: Long
     val subject: DutySubject
 
@@ -13,6 +15,7 @@
         override val token: Long,
         val content: UsageCall,
     ) : DutyCall {
+        override val duty get() = Duty.USAGE_REPORT
         override val subject get() = DutySubject.Usage
     }
 
@@ -22,6 +25,7 @@
         val content: EngineCountCall,
         val number: Long,
     ) : DutyCall {
+        override val duty get() = Duty.AUTOSCALE
         override val subject get() = DutySubject.Engines(content.group.service, content.group.availabilityZone)
     }
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/DutyCalls.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/DutyCalls.kt
@@ -121,11 +121,8 @@
         else -> {
             val known = refusals[call.content.window] ?: DutyAttempt()
             val pause = pause(FIRST_REFUSAL_PAUSE_MILLISECONDS, known.failures, LONGEST_REFUSAL_PAUSE_MILLISECONDS)
-            val current =
-                refusals.keys
-                    .filter {
-                        it !in state.control.usage.closed
-                    }.fold(refusals) { kept, window -> kept.remove(window) }
+            val forgotten = refusals.keys.filter { it !in state.control.usage.closed }
+            val current = forgotten.fold(refusals) { kept, window -> kept.remove(window) }
             current.put(call.content.window, DutyAttempt(failures = known.failures + 1, retryAt = now + pause))
         }
     }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/DutyReports.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/DutyReports.kt
@@ -46,11 +46,7 @@
     }
 
 internal val DutyCall.kind: String
-    get() =
-        when (this) {
-            is DutyCall.Usage -> "usage_report"
-            is DutyCall.Engines -> "autoscale"
-        }
+    get() = duty.settingsName
 
 private val DutyResult.kind: String
     get() =
@@ -69,11 +65,8 @@
 internal fun ControlStep.dutyLines(): List<String> {
     val duties = state.control.duties
     if (duties.token == 0L) return emptyList()
-    val undelivered =
-        state.control.usage.closed
-            .count { !it.value.delivered }
     return listOf(
         "  duties at the platform: holder ${duties.holder}, token ${duties.token}, taken in term ${duties.term}, " +
-            "$undelivered usage windows not delivered",
+            "${state.control.usage.undelivered} usage windows not delivered",
     )
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/DutyRules.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/DutyRules.kt
@@ -12,8 +12,6 @@
     val duties: Set<Duty>,
     val callsPerSecond: Double,
     val lease: Long,
-    val usageWindow: Long? = null,
-    val usageDeadline: Long? = null,
     val checksFencing: Boolean = false,
     val contactLimit: Long = lease / CONTACT_SHARE,
     val callLimit: Long = minOf(LONGEST_CALL_MILLISECONDS, lease / CALL_SHARE),
--- a/control/src/main/kotlin/hawthorncrank/control/internal/UsageCollection.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/UsageCollection.kt
@@ -1,7 +1,9 @@
 package hawthorncrank.control.internal
 
 import hawthorncrank.control.ControlSettings
+import hawthorncrank.control.Duty
 import hawthorncrank.control.UsageCounter
+import hawthorncrank.control.knownDuties
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
@@ -38,12 +40,10 @@
 
 /** How usage is collected; null if the replicas do not have the duty of usage reports. */
 internal fun ControlSettings.usageRules(): UsageRules? {
-    val window = usageWindow?.value?.takeIf { USAGE_DUTY in duties && it > 0 } ?: return null
+    val window = usageWindow?.value?.takeIf { Duty.USAGE_REPORT in knownDuties && it > 0 } ?: return null
     val deadline = usageDeadline?.value ?: (2 * window)
     return UsageRules(window, maxOf(0, deadline - REPORT_MILLISECONDS))
 }
 
-private const val USAGE_DUTY = "usage_report"
-
 // After the close, an election, the lease that a new holder waits and a call must fit before the deadline.
 private const val REPORT_MILLISECONDS = 5_000L
