Rank kept engines and slow down warm-ups in one function each

Candidates had two functions that agree where no engine is slow, and WarmUp reduced the bound for a slow answer and a slow pace in two places.

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Candidates.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Candidates.kt
@@ -20,34 +20,29 @@
 
     /**
      * Whether the engine is one of the [share] of its zone that is kept for short prompts. A larger share adds engines to
-     * those of a smaller one, so entries with different shares agree on most engines.
+     * those of a smaller one, so entries with different shares agree on most engines. The [slow] engines of a zone come last,
+     * so that faster ones are kept while there are some.
      */
     fun isForShortPrompts(
         name: String,
         share: Double,
+        slow: SlowEngines,
     ): Boolean {
         val place = places[name] ?: return false
         if (place.zoneSize == 1) return false
-        return place.rank < (place.zoneSize * share + 0.5).toInt().coerceIn(1, place.zoneSize - 1)
+        val rank = if (slow.any) rankWithSlowLast(name, place, slow) else place.rank
+        return rank < (place.zoneSize * share + 0.5).toInt().coerceIn(1, place.zoneSize - 1)
     }
 
-    /** The same with [slow] engines last in their zone, so that faster ones are kept while there are some. */
-    fun isForShortPrompts(
+    private fun rankWithSlowLast(
         name: String,
-        share: Double,
+        place: ZonePlace,
         slow: SlowEngines,
-    ): Boolean {
-        val place = places[name] ?: return false
-        if (place.zoneSize == 1) return false
-        val kept = (place.zoneSize * share + 0.5).toInt().coerceIn(1, place.zoneSize - 1)
+    ): Int {
         val isSlow = name in slow
-        var rank = 0
-        for (other in place.zone) {
-            if (other == name) continue
-            val isBefore = if (other in slow == isSlow) places.getValue(other).rank < place.rank else isSlow
-            if (isBefore) rank++
+        return place.zone.count { other ->
+            if (other in slow == isSlow) places.getValue(other).rank < place.rank else isSlow
         }
-        return rank < kept
     }
 
     private fun places(zone: List<UpstreamState>): List<Pair<String, ZonePlace>> {
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -106,12 +106,7 @@
     private fun isInZone(name: String) = state.upstreams.getValue(name).distance == Distance.ZONE
 
     private fun isForShortPrompts(name: String): Boolean =
-        groups.kept.isNotEmpty() && candidates != null &&
-            if (slow.any) {
-                candidates.isForShortPrompts(name, load.shortShare, slow)
-            } else {
-                candidates.isForShortPrompts(name, load.shortShare)
-            }
+        groups.kept.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare, slow) == true
 
     /** Whether the engine is one for this prompt. */
     private fun isFitting(name: String): Boolean =
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/WarmUp.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/WarmUp.kt
@@ -49,13 +49,7 @@
     ): WarmUp =
         when {
             now - elapsed < reducedAt -> this
-            ratio > SLOW_RATIO ->
-                reduced(
-                    maxOf(bound / 2, SMALLEST_BOUND_IF_SLOW),
-                    LONGEST_PAUSE_IF_SLOW_MILLISECONDS,
-                    elapsed,
-                    now,
-                )
+            ratio > SLOW_RATIO -> slowed(elapsed, now)
             ratio > NORMAL_RATIO -> this
             bound < 1 -> copy(bound = minOf(1.0, bound * 2), normalAnswers = normalAnswers + 1)
             inProgress * 2 < bound -> copy(normalAnswers = normalAnswers + 1)
@@ -67,27 +61,16 @@
         elapsed: Long,
         ratio: Double,
         now: Long,
-    ): WarmUp =
-        if (now - elapsed < reducedAt ||
-            ratio <= SLOW_RATIO
-        ) {
-            this
-        } else {
-            reduced(maxOf(bound / 2, SMALLEST_BOUND_IF_SLOW), LONGEST_PAUSE_IF_SLOW_MILLISECONDS, elapsed, now)
-        }
+    ): WarmUp = if (now - elapsed < reducedAt || ratio <= SLOW_RATIO) this else slowed(elapsed, now)
 
     /** Records a request that failed after [elapsed] milliseconds. */
     fun failed(
         elapsed: Long,
         now: Long,
-    ): WarmUp =
-        if (now - elapsed <
-            reducedAt
-        ) {
-            this
-        } else {
-            reduced(minOf(1.0, bound) / 2, LONGEST_PAUSE_MILLISECONDS, elapsed, now)
-        }
+    ): WarmUp {
+        if (now - elapsed < reducedAt) return this
+        return reduced(minOf(1.0, bound) / 2, LONGEST_PAUSE_MILLISECONDS, elapsed, now)
+    }
 
     /** Whether the bound has reached the [share], or nothing was slow for so long that little work explains the low bound. */
     fun isWarm(
@@ -102,6 +85,11 @@
     private fun rise(now: Long): Double =
         if (reducedAt > startedAt && now - reducedAt < CAREFUL_MILLISECONDS) CAREFUL_RISE else RISE
 
+    private fun slowed(
+        elapsed: Long,
+        now: Long,
+    ): WarmUp = reduced(maxOf(bound / 2, SMALLEST_BOUND_IF_SLOW), LONGEST_PAUSE_IF_SLOW_MILLISECONDS, elapsed, now)
+
     private fun reduced(
         wanted: Double,
         longestPause: Long,
