--- a/control/src/test/kotlin/hawthorncrank/control/internal/UsageEntry.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/UsageEntry.kt
@@ -2,10 +2,8 @@
 
 import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.CallerRequest
-import hawthorncrank.entry.core.EntryBehaviour
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
-import hawthorncrank.entry.core.EntrySettings
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.RetryPolicy
 import hawthorncrank.entry.core.entryReducer
@@ -17,9 +15,6 @@
 import hawthorncrank.protocol.Organisation
 import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.TrafficClass
-import hawthorncrank.routing.ChoiceRule
-import hawthorncrank.routing.RoutingPolicy
-import hawthorncrank.scheduling.SchedulingPolicy
 
 /**
  * An entry with clocks of its own that sends usage counts to replicas of [group]. [wallStep] moves its time of day,
@@ -120,22 +115,7 @@
         group.entry(replica, link, stamped, name)
     }
 
-    private fun settings() =
-        EntrySettings(
-            name,
-            "zone",
-            "region",
-            listOf(name),
-            randomSeed = number * LINKS + starts,
-            regions = mapOf("zone" to "region"),
-            behaviour =
-                EntryBehaviour(
-                    brokenConnectionIsCrash = false,
-                    connectFailuresToExclude = 1,
-                    scheduling = SchedulingPolicy(preemption = false, floor = false),
-                    routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
-                ),
-        )
+    private fun settings() = virtualEntrySettings(name, randomSeed = number * LINKS + starts)
 
     private fun request(organisation: String) =
         CallerRequest(
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualFleet.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualFleet.kt
@@ -2,7 +2,6 @@
 
 import hawthorncrank.entry.core.AttemptEnd
 import hawthorncrank.entry.core.CallerRequest
-import hawthorncrank.entry.core.EntryBehaviour
 import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.core.EntrySettings
@@ -16,9 +15,6 @@
 import hawthorncrank.protocol.Organisation
 import hawthorncrank.protocol.RouteService
 import hawthorncrank.protocol.TrafficClass
-import hawthorncrank.routing.ChoiceRule
-import hawthorncrank.routing.RoutingPolicy
-import hawthorncrank.scheduling.SchedulingPolicy
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -100,7 +96,7 @@
         private val link: Long,
         private val replica: String,
     ) {
-        private val settings = settings(name)
+        private val settings = virtualEntrySettings(name)
         private val reducer = entryReducer(settings)
         private var state = initialEntryState(settings)
         private var starts = 0
@@ -242,23 +238,6 @@
                 organisations = listOf(Organisation("lumen", "region", listOf("drafts"), emptyList())),
                 routeServices = listOf(RouteService("model", servesModels = true)),
             )
-
-        fun settings(name: String) =
-            EntrySettings(
-                name,
-                "zone",
-                "region",
-                listOf(name),
-                randomSeed = name.hashCode().toLong(),
-                regions = mapOf("zone" to "region"),
-                behaviour =
-                    EntryBehaviour(
-                        brokenConnectionIsCrash = false,
-                        connectFailuresToExclude = 1,
-                        scheduling = SchedulingPolicy(preemption = false, floor = false),
-                        routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
-                    ),
-            )
     }
 }
 
