--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
@@ -14,7 +14,8 @@
 
 /**
  * [suspect] is set if the content was suspected of crashing engines when the attempt started; it then shares its engine
- * with no other suspect. [billedTo] is the organisation for which the request counts in usage reports, if any. A [cancelled] attempt still counts as running on its upstream until its end is reported.
+ * with no other suspect. [billedTo] is the organisation for which the request counts in usage reports, if any. A [cancelled]
+ * attempt still counts as running on its upstream until its end is reported.
  */
 internal data class RunningAttempt(
     val number: Long,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/WarmUps.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/WarmUps.kt
@@ -47,7 +47,10 @@
     state = state.copy(router = state.router.attemptFailed(attempt.requestNumber, now))
 }
 
-/** Measures the warm-ups and logs which began and ended since the last call. All of a second share one line, however many there are. */
+/**
+ * Measures the warm-ups and logs which began and ended since the last call. All of a second share one line, however many
+ * there are.
+ */
 internal fun Reduction.recordWarmUps() {
     if (!settings.behaviour.warmUp) return
     val warming = state.router.view.warmingUpstreams(now)
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/UpstreamState.kt
@@ -8,9 +8,9 @@
 import kotlinx.collections.immutable.toPersistentList
 
 /**
- * One upstream with this entry's own work there, and what is known of it by [observations]. [shared] counts the entry's own attempts on shared capacity by tier, and
- * [floor] those on the floors of classes. [pendingPrefillTokens] counts the prompt tokens of its attempts that the
- * upstream has not processed yet.
+ * One upstream with this entry's own work there, and what is known of it by [observations]. [shared] counts the entry's own
+ * attempts on shared capacity by tier, and [floor] those on the floors of classes. [pendingPrefillTokens] counts the prompt
+ * tokens of its attempts that the upstream has not processed yet.
  */
 internal data class UpstreamState(
     val settings: Upstream,
