Read engines' reports on the leader and tell entries which are slow

Entries get the decision with the list of upstreams that they ask their replica for anyway. It is off unless the replicas have engine_reports = true.

A leader that fails leaves its last decision in force. An entry that reads the platform's list itself keeps what it knew.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
@@ -247,6 +247,13 @@
         val accepted: Boolean,
     ) : ControlOperation
 
+    /** Replaces what is known of engines that are slower than others of their service, by how many times as long they take. */
+    @Serializable
+    @SerialName("slow-engines")
+    data class RecordSlowEngines(
+        val slowdowns: Map<String, Double>,
+    ) : ControlOperation
+
     /** Only advances the replicated clock. */
     @Serializable
     @SerialName("clock")
--- a/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlSettings.kt
@@ -42,6 +42,9 @@
     /** Whether this fleet decides how many engines run. Without it, the duty of ordering them is left to others. */
     @SerialName("order_engines")
     val orderEngines: Boolean = false,
+    /** Whether the leader reads the engines' reports of themselves to find those that are slower than others. */
+    @SerialName("engine_reports")
+    val engineReports: Boolean = false,
     @SerialName("duty_calls_per_second")
     @Serializable(with = RateSerializer::class)
     val dutyCallsPerSecond: Double? = null,
--- a/control/src/main/kotlin/hawthorncrank/control/ControlState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlState.kt
@@ -48,6 +48,7 @@
     val duties: DutyState = DutyState(),
     val usage: UsageState = UsageState(),
     val engineCounts: EngineCountState = EngineCountState(),
+    val slowEngines: PersistentMap<String, Double> = persistentMapOf(),
 )
 
 /** How long a finished claim answers resends, on the replicated clock. Afterwards its key is free. */
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -60,6 +60,13 @@
         val askedAt: Long,
     ) : ControlEffect
 
+    /** Read the report of an engine and send it as [ControlEvent.EngineReported]. */
+    data class ReadEngineReport(
+        val engine: String,
+        val address: String,
+        val askedAt: Long,
+    ) : ControlEffect
+
     /** Record the time from the arrival of a command at this replica until it was applied here. */
     data class MeasureCommand(
         val kind: String,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.capacity.ReportedStream
 import hawthorncrank.consensus.ReplicaEvent
 import hawthorncrank.control.FencingNumber
 import hawthorncrank.protocol.EntryToControl
@@ -49,6 +50,13 @@
         val upstreams: List<ListedUpstream>?,
     ) : ControlEvent
 
+    /** What an engine holds for its streams, or null if it did not tell. [askedAt] is when the process began to ask. */
+    data class EngineReported(
+        val engine: String,
+        val askedAt: Long,
+        val streams: Map<String, ReportedStream>?,
+    ) : ControlEvent
+
     /** Sent every 100 ms. */
     data class Tick(
         val wallTime: Long,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEventCode.kt
@@ -42,6 +42,7 @@
     HAND_OVER_UNFINISHED(2074, Level.WARN, "this replica stops although no other has taken its place yet"),
     ENGINES_ORDERED(2086, Level.INFO, "a number of engines was decided and is ordered from the platform"),
     DUTY_UNKNOWN(2087, Level.WARN, "the settings name a duty that this program does not know"),
+    SLOW_ENGINES(2088, Level.INFO, "the engines that are slower than others of their service changed"),
     USAGE_WINDOW_CLOSED(2090, Level.INFO, "usage window closed"),
     USAGE_TOO_LATE(2091, Level.WARN, "counts of requests came after their window was closed"),
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -39,9 +39,8 @@
     private val log: EventLog,
     private val storage: ReplicaStorage,
     recovered: RecoveredReplica,
-    upstreams: UpstreamListSource?,
     private val dutyRules: DutyRules?,
-    platform: PlatformDuties?,
+    sources: PlatformSources,
     private val onFatalError: () -> Unit,
 ) : Control {
     private val replicaSettings =
@@ -56,8 +55,9 @@
     private val storageThread = StorageThread(storage, log, { thread.send(ControlEvent.Replica(it)) }, onFatalError)
     private val orders = OrderClient(::expiryOf, thread::send)
     private val metrics = ControlMetrics({ thread.state }, log::dropped)
-    private val listReader = upstreams?.let { UpstreamListReader(it, thread::send, log) }
-    private val duties = dutyRules?.let { rules -> platform?.let { dutyClient(rules, it) } }
+    private val listReader = sources.upstreams?.let { UpstreamListReader(it, thread::send, log) }
+    private val reportReader = sources.engineReports?.let { EngineReportReader(it, thread::send) }
+    private val duties = dutyRules?.let { rules -> sources.duties?.let { dutyClient(rules, it) } }
     private val closed = AtomicBoolean()
     private val readyToStop = CountDownLatch(1)
     private val localOperators = LocalOperators { thread.send(it) }
@@ -127,6 +127,7 @@
                         requiredVoters = settings.voters ?: 1,
                         entryReleaseDelay = entryReleaseDelay(replicaSettings),
                         dutyRules = dutyRules,
+                        engineReadings = EngineReadings().takeIf { settings.engineReports },
                     )
                 startedProcess(replica, state, transition.effects, now)
             }
@@ -150,6 +151,7 @@
             is ControlEffect.ReadyToStop -> readyToStop.countDown()
             is ControlEffect.PostOrder -> orders.post(effect)
             is ControlEffect.ReadUpstreamList -> listReader?.read(effect.askedAt)
+            is ControlEffect.ReadEngineReport -> reportReader?.read(effect)
             is ControlEffect.CallPlatform -> duties?.call(effect.call)
             is ControlEffect.CountDutyCall -> metrics.count(effect)
             is ControlEffect.MeasureCommand -> metrics.measure(effect)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/LeaderDuties.kt
@@ -19,6 +19,7 @@
     revertEndedPlans()
     advanceClock()
     if (now - leaderSince >= ORDER_PAUSE_MILLISECONDS) sendOrders()
+    recordSlowEngines()
     if (holdsDuties()) performDuties()
 }
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Operations.kt
@@ -34,6 +34,7 @@
         is ControlOperation.RecordDemand -> current.recordDemand(operation).done()
         is ControlOperation.OrderEngines -> current.orderEngines(operation, context).done()
         is ControlOperation.EngineOrderAnswered -> current.engineOrderAnswered(operation).done()
+        is ControlOperation.RecordSlowEngines -> current.recordSlowEngines(operation).done()
         ControlOperation.AdvanceClock -> current.done()
         else -> current.applyOnce(context) { answerOperator(operation, context) }
     }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -56,6 +56,8 @@
     val engineDemand: EngineDemandCollection = EngineDemandCollection(),
     val capacity: CapacityState = CapacityState(),
     val enginesPlannedAt: Long? = null,
+    /** Null on deployments that do not read the reports of engines. */
+    val engineReadings: EngineReadings? = null,
 ) {
     /** This process's estimate of the replicated clock, which never runs ahead of real time. */
     fun clock(now: Long): Long = control.clock + (now - clockAppliedAt)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
@@ -40,6 +40,9 @@
         "  configuration version ${control.version}, changed by ${control.changedBy.ifEmpty { "nobody" }}",
         "  claims: ${control.claims.size}, of them $unknown whose holder is gone",
     ) +
+        control.slowEngines.map { (engine, slowdown) ->
+            "  $engine takes $slowdown times as long as the faster engines"
+        } +
         control.drains.map { (upstream, by) -> "  $upstream drains, ordered by $by" } +
         convictions.map { (digest, record) -> "  convicted $digest after ${record.crashes} crashes" } +
         timedPlans.map { "  plan ${it.plan.number} returns at ${instant(it.returnsAtWallTime)}: ${it.plan.words}" } +
--- a/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamLists.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamLists.kt
@@ -11,11 +11,11 @@
     link: Long,
     message: EntryToControl.ListUpstreams,
 ) {
-    state = state.copy(upstreamList = state.upstreamList.copy(wantedAt = now))
-    val list = state.upstreamList
+    val list = state.upstreamList.copy(wantedAt = now).with(state.control.slowEngines)
+    state = state.copy(upstreamList = list)
     val age = list.readAt?.let { now - it } ?: return
-    if (age > LONGEST_AGE_MILLISECONDS || list.upstreams.size > MAXIMUM_UPSTREAMS_SENT) return
-    val upstreams = list.upstreams.takeIf { message.heldRevision != list.revision }
+    if (age > LONGEST_AGE_MILLISECONDS || list.sent.size > MAXIMUM_UPSTREAMS_SENT) return
+    val upstreams = list.sent.takeIf { message.heldRevision != list.revision }
     send(link, ControlToEntry.UpstreamList(message.question, list.revision, age, upstreams))
 }
 
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -26,6 +26,7 @@
     private val timeouts: ReplicaSettings = ReplicaSettings(emptyList()),
     private val usage: UsageRules? = null,
     private val duties: DutyRules? = null,
+    private val readsEngineReports: Boolean = false,
     private val onCall: (replica: String, call: DutyCall) -> Unit = { _, _ -> },
 ) {
     private val names = List(size) { "control-${it + 1}" }
@@ -36,6 +37,7 @@
     val closedLinks = ArrayList<Long>()
     val readyToStop = ArrayList<String>()
     val wallSteps = HashMap<String, Long>()
+    val reportReadings = ArrayList<Pair<String, ControlEffect.ReadEngineReport>>()
     val postedOrders = ArrayList<ControlEffect.PostOrder>()
     var now = 1_000L
         private set
@@ -65,6 +67,7 @@
                     requiredVoters = requiredVoters,
                     entryReleaseDelay = entryReleaseDelay(settings),
                     usage = usage?.let { UsageCollection(it) },
+                    engineReadings = EngineReadings().takeIf { readsEngineReports },
                     dutyRules = duties?.copy(machine = "core-${node.name}"),
                 )
             val transition = startedProcess(replica, node.state, started.effects, now)
@@ -174,6 +177,7 @@
                 }
             is ControlEffect.SendToLink -> node.sent += effect.link to effect.message
             is ControlEffect.ReadUpstreamList -> node.readings += effect
+            is ControlEffect.ReadEngineReport -> reportReadings += node.name to effect
             is ControlEffect.PostOrder -> postedOrders += effect
             is ControlEffect.CloseLink -> closedLinks += effect.link
             is ControlEffect.ReadyToStop -> readyToStop += node.name
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Dispatch.kt
@@ -19,7 +19,7 @@
         is EntryEvent.LoadReported -> loadReported(event.upstream, event.report)
         is EntryEvent.CacheChanged -> cacheChanged(event.upstream, event.change)
         is EntryEvent.MembershipReported -> membershipReported(event.live, event.leaving)
-        is EntryEvent.UpstreamsListed -> upstreamsListed(event.upstreams, now)
+        is EntryEvent.UpstreamsListed -> upstreamsListed(withKnownSlowdowns(event.upstreams), now)
         is EntryEvent.UpstreamAnnouncedLeaving -> leavingAnnounced(event.upstream, event.address)
         is EntryEvent.ProbeAnswered ->
             if (asksAboutCrash(event.upstream)) {
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
@@ -49,10 +49,26 @@
     membership { it.copy(listed = listed.toPersistentList()) }
     if (settings.behaviour.listFromControl) listSource { it.copy(revision = listed.revision()) }
     upstreamsChanged()
+    updateSlowdowns()
     val leaving = listed.filter { it.leaving }.map { it.name }
     membershipReported(listed.map { it.name }.toSet(), leaving.toSet())
 }
 
+/** The list as the platform gives it does not tell which engines are slow, so what control last said holds. */
+internal fun Reduction.withKnownSlowdowns(listed: List<ListedUpstream>): List<ListedUpstream> {
+    val known =
+        state.membership.listed
+            .filter { it.slowdown != null }
+            .associateBy({ it.name }, { it.slowdown })
+    return if (known.isEmpty()) listed else listed.map { it.copy(slowdown = known[it.name]) }
+}
+
+private fun Reduction.updateSlowdowns() {
+    val slow = state.membership.listed.filter { (it.slowdown ?: 1.0) > 1.0 }
+    val slowdowns = slow.associate { it.name to (it.slowdown ?: 1.0) }
+    state = state.copy(router = state.router.setSlowdowns(slowdowns))
+}
+
 /** How long ago the platform's list was last read, in milliseconds. */
 internal val Reduction.listAge: Long?
     get() = state.membership.listedAt?.let { now - it }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -46,6 +46,7 @@
     private val reducer = entryReducer(settings)
     private var state = initialEntryState(settings)
     var now = 1_000_000L
+    val slowdowns: Map<String, Double> get() = state.router.view.slowdowns
     val configuration =
         sampleConfiguration().copy(
             upstreams = emptyList(),
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/UpstreamListSourceTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/UpstreamListSourceTest.kt
@@ -53,6 +53,17 @@
         assertEquals("s2", scenario.call(2, IDEMPOTENT).start().upstream)
     }
 
+    /** An entry that loses control reads the list itself, and would send urgent streams to slow engines again. */
+    @Test
+    fun `slow engines stay known when the entry reads the list itself`() {
+        val engines = listOf(listedEngine("e1"), listedEngine("e2"))
+        answer(question(), age = 0, engines.map { if (it.name == "e1") it.copy(slowdown = 2.0) else it })
+        scenario.send(EntryEvent.UpstreamsListed(engines))
+        assertEquals(mapOf("e1" to 2.0), scenario.slowdowns)
+        answer(question(), age = 0, engines)
+        assertEquals(emptyMap(), scenario.slowdowns)
+    }
+
     /** A replica that restarted, or another one, may have a list that this entry has not. */
     @Test
     fun `an answer without a list does not confirm another list than the one held`() {
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
@@ -7,7 +7,8 @@
 
 /**
  * An upstream as the platform lists it. [service] is the service that it runs. While [leaving] it gets no new work. The
- * platform may take a [reclaimable] one away.
+ * platform may take a [reclaimable] one away. An engine that is slower than others of its service takes [slowdown] times as
+ * long for the same work, as control replicas found; 1 if it does not, and null if the list does not tell.
  */
 @Serializable
 data class ListedUpstream(
@@ -19,13 +20,16 @@
     val slots: Int,
     val leaving: Boolean,
     val reclaimable: Boolean = false,
+    val slowdown: Double? = null,
 ) {
-    /** The part of [revision] that describes this upstream, unchanged from builds that don't know [reclaimable]. */
+    /** The part of [revision] that describes this upstream, unchanged from builds that don't know the optional properties. */
     internal fun described(): String {
         val text =
             "ListedUpstream(name=$name, service=$service, address=$address, availabilityZone=$availabilityZone, " +
                 "slots=$slots, leaving=$leaving"
-        return if (reclaimable) "$text, reclaimable=true)" else "$text)"
+        val reclaimed = if (reclaimable) ", reclaimable=true" else ""
+        val slowed = slowdown?.let { ", slowdown=$it" }.orEmpty()
+        return "$text$reclaimed$slowed)"
     }
 }
 
