Let only the streams with the shortest pauses wait for faster engines

All classes but the one with the longest pauses waited for faster engines, and prompts of other classes for those that are not kept.

Now only the streams with the shortest pauses wait.

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -24,8 +24,8 @@
  * these classes in the load.
  *
  * Where some engines are slow ([SlowEngines]), a fast one is kept before a slow one, and the streams with the shortest pauses
- * wait for faster engines. If most engines are fast, these are kept for the shortest pauses only, all streams but those with the
- * longest pauses wait for them, and fewer shared parts prefer a slow engine.
+ * wait for faster engines. If these are enough for more, they are kept for the shortest pauses only, and fewer shared parts prefer
+ * a slow engine.
  */
 internal class PromptDelays(
     private val state: RouterState,
@@ -37,7 +37,9 @@
     private val load = state.loads[work.target] ?: TargetLoad()
     private val streamTargets = StreamTargets.of(state.classes[work.className])
     private val slow = state.slowEngines.among(candidates?.all.orEmpty())
-    private val mostlyFast = slow.any && slow.count * 2 <= candidates?.all.orEmpty().size
+
+    /** Whether the faster engines have room for more than the streams with the shortest pauses. */
+    private val mostlyFast = slow.any && slow.count * 3 <= candidates?.all.orEmpty().size
     private val groups = load.groups(state.streamTargets, now).let { if (mostlyFast) it.onlySensitive() else it }
     private val isLong = groups.isLong(streamTargets, work.promptTokens)
     private val isKept = !isLong && streamTargets in groups.kept
@@ -47,9 +49,7 @@
             .filter { it.betweenTokens != null }
             .mapNotNull { it.firstToken }
             .minOrNull() ?: StreamTargets.DEFAULT_TARGET_MILLISECONDS
-    private val longestPause: Long = state.streamTargets.mapNotNull { it.betweenTokens }.maxOrNull() ?: 0
     private val preferred = preferredEngine()
-    private val waitsForFast by lazy(LazyThreadSafetyMode.NONE, ::waitsForFast)
     private val overdue: Map<String, Double> by lazy(LazyThreadSafetyMode.NONE, ::overdueAttempts)
 
     fun delay(name: String): Double {
@@ -122,17 +122,15 @@
     private fun classPenalty(name: String): Double =
         when {
             groups.kept.isEmpty() || isFitting(name) -> 0.0
-            isLong || mostlyFast && !isKept -> target * CAUSED_PAUSES_PENALTY
+            isLong -> target * CAUSED_PAUSES_PENALTY
             groups.isUsuallyLong(streamTargets) -> target * SHORTER_THAN_USUAL_PENALTY
             streamTargets in groups.sensitive -> target * PAUSES_PENALTY
             else -> target * FEW_PAUSES_PENALTY
         }
 
-    private fun slowPenalty(name: String): Double = if (name in slow && waitsForFast) target * SLOW_PENALTY else 0.0
-
-    /** Streams with the longest pauses lose least on a slow engine. A few fast ones have room for the shortest pauses only. */
-    private fun waitsForFast(): Boolean =
-        if (mostlyFast) streamTargets.pause < longestPause else streamTargets in groups.sensitive
+    /** Only the streams with the shortest pauses wait for faster engines, which would have no room for all. */
+    private fun slowPenalty(name: String): Double =
+        if (name in slow && streamTargets in groups.sensitive) target * SLOW_PENALTY else 0.0
 
     /** An engine whose slots are all in use takes about as much longer for an answer as two of the shortest targets. */
     private fun millisecondsPerRunningRequest(slots: Int): Double = 2.0 * shortestTarget / slots
