--- a/control/src/main/kotlin/hawthorncrank/control/internal/EngineReading.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EngineReading.kt
@@ -50,8 +50,8 @@
     val speeds = (readings.speeds[service] ?: EngineSpeeds()).reported(event.engine, EngineReport(now, streams))
     state = state.copy(engineReadings = readings.copy(speeds = readings.speeds.put(service, speeds), changed = true))
     schedule(event.engine) { known ->
-        val readings = if (streams.isEmpty()) known.readings else known.readings + 1
-        ReadingSchedule(now + interval(event.engine, readings, streams.isEmpty(), speeds), readings = readings)
+        val counted = if (streams.isEmpty()) known.readings else known.readings + 1
+        ReadingSchedule(now + interval(event.engine, counted, streams.isEmpty(), speeds), readings = counted)
     }
 }
 
@@ -141,7 +141,6 @@
 private const val SLOW_ENGINES_IDENTIFIER = "slow-engines"
 private const val READING_INTERVAL_MILLISECONDS = 1_000L
 private const val PAUSE_MILLISECONDS = 10_000L
-
 private const val IDLE_INTERVAL_MILLISECONDS = 2_000L
 
 /** An engine with prompts all the time may never show its speed, however often it is read. */
