--- a/control/src/test/kotlin/hawthorncrank/control/ControlStartTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/ControlStartTest.kt
@@ -81,6 +81,12 @@
         assertNotNull(start(settings()).get(), "the folder is free after the replica closed").close()
     }
 
+    @Test
+    fun `reports of engines that this program cannot read are refused with their key`() {
+        val failure = start(settings().copy(engineReports = true)).getError()
+        assertEquals("engine_reports", assertIs<SettingsFailure.InvalidValue>(failure).key)
+    }
+
     private fun settings(): ControlSettings =
         assertNotNull(decode(TOML).get()).copy(dataFolder = folder.resolve("data").toString())
 
