--- a/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamListState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamListState.kt
@@ -31,16 +31,9 @@
 
     /** While no engine is slow, the list is sent as the platform gives it. */
     private fun withSent(): UpstreamListState {
-        val all =
-            if (slowdowns.isEmpty()) {
-                upstreams
-            } else {
-                upstreams.map {
-                    it.copy(
-                        slowdown = slowdowns[it.name] ?: 1.0,
-                    )
-                }
-            }
+        val all = if (slowdowns.isEmpty()) upstreams else upstreams.map(::withSlowdown)
         return copy(sent = all, revision = all.revision())
     }
+
+    private fun withSlowdown(upstream: ListedUpstream) = upstream.copy(slowdown = slowdowns[upstream.name] ?: 1.0)
 }
