Follow the decision on slow engines only while reports are read

A replica whose engine_reports was switched off went on sending entries the last decision, and nobody read reports to take it back: urgent streams stayed away from those engines. Found by reading. Its replicas now tell entries, the status and the metric of none.

The service of a reported engine is looked up without building the set of services again. UpstreamListsTest checks both cases of the setting; it needs the new property, so it was not run on the code before.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -37,7 +37,7 @@
         gauge("entries_linked") { it.entryLinks.size }
         gauge("duty_holder") { if (it.holdsDuties()) 1 else 0 }
         gauge("duty_token") { it.control.duties.token }
-        gauge("slow_engines") { it.control.slowEngines.size }
+        gauge("slow_engines") { it.slowEngines.size }
         enginesOrdered("regular", reclaimable = false)
         enginesOrdered("reclaimable", reclaimable = true)
         Gauge.builder("hawthorncrank.log.records.dropped", droppedRecords).strongReference(true).register(registry)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EngineReading.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EngineReading.kt
@@ -46,7 +46,10 @@
         schedule(event.engine) { failed(it) }
         return
     }
-    val service = readableEngines().find { it.name == event.engine }?.service ?: return
+    val service =
+        state.upstreamList.upstreams
+            .find { it.name == event.engine }
+            ?.service ?: return
     val speeds = (readings.speeds[service] ?: EngineSpeeds()).reported(event.engine, EngineReport(now, streams))
     state = state.copy(engineReadings = readings.copy(speeds = readings.speeds.put(service, speeds), changed = true))
     schedule(event.engine) { known ->
@@ -145,6 +148,8 @@
 
 /** An engine with prompts all the time may never show its speed, however often it is read. */
 private const val LEARNING_READINGS = 30
+
+/** Bounds the open requests and the work of the leader where hundreds of engines are to be read. */
 private const val LARGEST_NUMBER_AT_ONCE = 50
 private const val LARGEST_DOUBLINGS = 5
 
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -59,6 +59,10 @@
     /** Null on deployments that do not read the reports of engines. */
     val engineReadings: EngineReadings? = null,
 ) {
+    /** The decision on slow engines. Without reports it is not followed, because it would never be taken back. */
+    val slowEngines: Map<String, Double>
+        get() = if (engineReadings == null) emptyMap() else control.slowEngines
+
     /** This process's estimate of the replicated clock, which never runs ahead of real time. */
     fun clock(now: Long): Long = control.clock + (now - clockAppliedAt)
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StatusLines.kt
@@ -40,7 +40,7 @@
         "  configuration version ${control.version}, changed by ${control.changedBy.ifEmpty { "nobody" }}",
         "  claims: ${control.claims.size}, of them $unknown whose holder is gone",
     ) +
-        control.slowEngines.map { (engine, slowdown) ->
+        state.slowEngines.map { (engine, slowdown) ->
             "  $engine takes $slowdown times as long as the faster engines"
         } +
         control.drains.map { (upstream, by) -> "  $upstream drains, ordered by $by" } +
--- a/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamLists.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamLists.kt
@@ -11,7 +11,7 @@
     link: Long,
     message: EntryToControl.ListUpstreams,
 ) {
-    val list = state.upstreamList.copy(wantedAt = now).with(state.control.slowEngines)
+    val list = state.upstreamList.copy(wantedAt = now).with(state.slowEngines)
     state = state.copy(upstreamList = list)
     val age = list.readAt?.let { now - it } ?: return
     if (age > LONGEST_AGE_MILLISECONDS || list.sent.size > MAXIMUM_UPSTREAMS_SENT) return
--- a/control/src/test/kotlin/hawthorncrank/control/internal/UpstreamListsTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/UpstreamListsTest.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.revision
+import kotlinx.collections.immutable.persistentMapOf
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -46,6 +47,18 @@
         assertEquals(before, group.readings(REPLICA).size)
     }
 
+    /** Otherwise switching the reports off would leave urgent streams away from engines that nobody compares any more. */
+    @Test
+    fun `a replica that reads no reports tells entries of no slow engines`() {
+        val state = group.state(REPLICA)
+        val decided = state.control.copy(slowEngines = persistentMapOf("i-1" to 2.0))
+        assertEquals(emptyMap(), state.copy(control = decided).slowEngines)
+        assertEquals(
+            decided.slowEngines,
+            state.copy(control = decided, engineReadings = EngineReadings()).slowEngines,
+        )
+    }
+
     /** Entries 1 and up ask twice per second. Each reading is answered by [answer]. Returns the number of readings. */
     private fun askFor(
         milliseconds: Long,
