Order the engines of a zone once and not for each placement

With slow engines, each placement sorted the zone of every engine and filtered the slow ones of the target again. Both now follow from the candidates, which change with the list. One rule covers zones with and without slow engines.

--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/Candidates.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/Candidates.kt
@@ -1,10 +1,12 @@
 package hawthorncrank.routing.internal
 
-/** The usable upstreams of a target by distance, in a fixed order. */
+/** The usable upstreams of a target by distance, in a fixed order, and which of them are slow among [slowEngines]. */
 internal class Candidates(
     states: List<UpstreamState>,
+    slowEngines: SlowEngines,
 ) {
     val all: List<String> = states.map { it.settings.name }
+    val slow: SlowEngines = slowEngines.among(all)
     private val byDistance =
         Distance.entries.map { distance ->
             states.filter { it.distance == distance }.map { it.settings.name }
@@ -19,45 +21,41 @@
     fun at(distance: Distance): List<String> = byDistance[distance.ordinal]
 
     /**
-     * Whether the engine is one of the [share] of its zone that is kept for short prompts. A larger share adds engines to
-     * those of a smaller one, so entries with different shares agree on most engines. The [slow] engines of a zone come last,
-     * so that faster ones are kept while there are some, and the share is one of the work that the engines can do.
+     * Whether the engine is one of those of its zone that are kept for short prompts and can do the [share] of its work. A
+     * larger share adds engines to those of a smaller one, so entries with different shares agree on most engines. Slow
+     * engines come last, so that faster ones are kept while there are some.
      */
     fun isForShortPrompts(
         name: String,
         share: Double,
-        slow: SlowEngines,
     ): Boolean {
         val place = places[name] ?: return false
-        if (place.zoneSize == 1) return false
-        if (slow.any) return isAmongFastest(name, place, share, slow)
-        return place.rank < (place.zoneSize * share + 0.5).toInt().coerceIn(1, place.zoneSize - 1)
-    }
-
-    private fun isAmongFastest(
-        name: String,
-        place: ZonePlace,
-        share: Double,
-        slow: SlowEngines,
-    ): Boolean {
-        val ranked = place.zone.sortedBy { it in slow }
-        val rank = ranked.indexOf(name)
-        if (rank == 0 || rank == ranked.lastIndex) return rank == 0
-        val speeds = ranked.map { 1 / slow.slowdown(it) }
-        return speeds.take(rank).sum() + speeds[rank] / 2 <= share * speeds.sum()
+        return place.mayBeKept && (place.isFirst || place.middle <= share * place.speedOfZone)
     }
 
     private fun places(zone: List<UpstreamState>): List<Pair<String, ZonePlace>> {
-        val names = zone.map { it.settings.name }.sortedByDescending { PromptDelays.rendezvousRank(0, it) }
-        return names.mapIndexed { rank, name -> name to ZonePlace(rank, names) }
+        val names =
+            zone
+                .map { it.settings.name }
+                .sortedByDescending { PromptDelays.rendezvousRank(0, it) }
+                .sortedBy { it in slow }
+        val speeds = names.map { 1 / slow.slowdown(it) }
+        var before = 0.0
+        return names.mapIndexed { rank, name ->
+            val place = ZonePlace(rank == 0, rank < names.lastIndex, before + speeds[rank] / 2, speeds.sum())
+            before += speeds[rank]
+            name to place
+        }
     }
 
-    /** The place of an engine in an order of the engines of its zone that all entries compute alike. */
+    /**
+     * The place of an engine in an order of the engines of its zone that all entries compute alike. [middle] is the speed of
+     * the engines before it and of half of itself. The last engine of a zone is left to other prompts.
+     */
     private class ZonePlace(
-        val rank: Int,
-        val zone: List<String>,
-    ) {
-        val zoneSize: Int
-            get() = zone.size
-    }
+        val isFirst: Boolean,
+        val mayBeKept: Boolean,
+        val middle: Double,
+        val speedOfZone: Double,
+    )
 }
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/PromptDelays.kt
@@ -36,7 +36,7 @@
     private val candidates = state.candidates[work.target]
     private val load = state.loads[work.target] ?: TargetLoad()
     private val streamTargets = StreamTargets.of(state.classes[work.className])
-    private val slow = state.slowEngines.among(candidates?.all.orEmpty())
+    private val slow = candidates?.slow ?: SlowEngines.NONE
 
     /** Whether the faster engines have room for more than the streams with the shortest pauses. */
     private val mostlyFast = slow.any && slow.count * 3 <= candidates?.all.orEmpty().size
@@ -109,7 +109,7 @@
     private fun isInZone(name: String) = state.upstreams.getValue(name).distance == Distance.ZONE
 
     private fun isForShortPrompts(name: String): Boolean =
-        groups.kept.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare, slow) == true
+        groups.kept.isNotEmpty() && candidates?.isForShortPrompts(name, load.shortShare) == true
 
     /** Whether the engine is one for this prompt. */
     private fun isFitting(name: String): Boolean =
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterCandidates.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterCandidates.kt
@@ -20,7 +20,7 @@
     val floorSlots = classes.values.sumOf { maxOf(1, it.floorSlots) } * liveEntries
     val slots = inZone.sumOf { it.slots }
     return copy(
-        candidates = byTarget.mapValues { (_, states) -> Candidates(states) }.toPersistentHashMap(),
+        candidates = byTarget.mapValues { (_, states) -> Candidates(states, slowEngines) }.toPersistentHashMap(),
         zonesSharing = Distance.entries.map { zonesWithin(it) },
         floorFraction = floorFraction(floorSlots, slots),
     )
--- a/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
+++ b/routing/src/main/kotlin/hawthorncrank/routing/internal/RouterState.kt
@@ -74,7 +74,7 @@
     override fun setLiveEntries(count: Int): Router = copy(liveEntries = count.coerceAtLeast(1)).withCandidates()
 
     override fun setSlowdowns(slowdowns: Map<String, Double>): Router =
-        if (slowdowns == slowEngines.slowdowns) this else copy(slowEngines = SlowEngines(slowdowns))
+        if (slowdowns == slowEngines.slowdowns) this else copy(slowEngines = SlowEngines(slowdowns)).withCandidates()
 
     override fun setFleetEntries(count: Int): Router = copy(warmUps = warmUps.setEntries(count))
 
