--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
@@ -64,9 +64,11 @@
 }
 
 private fun Reduction.updateSlowdowns() {
-    val slow = state.membership.listed.filter { (it.slowdown ?: 1.0) > 1.0 }
-    val slowdowns = slow.associate { it.name to (it.slowdown ?: 1.0) }
-    state = state.copy(router = state.router.setSlowdowns(slowdowns))
+    val slow =
+        state.membership.listed.mapNotNull { item ->
+            item.slowdown?.takeIf { it > 1.0 }?.let { item.name to it }
+        }
+    state = state.copy(router = state.router.setSlowdowns(slow.toMap()))
 }
 
 /** How long ago the platform's list was last read, in milliseconds. */
