--- a/capacity/src/main/kotlin/hawthorncrank/capacity/EngineSpeeds.kt
+++ b/capacity/src/main/kotlin/hawthorncrank/capacity/EngineSpeeds.kt
@@ -1,7 +1,7 @@
 package hawthorncrank.capacity
 
-import hawthorncrank.capacity.internal.ReportedWork
 import hawthorncrank.capacity.internal.WorkModel
+import hawthorncrank.capacity.internal.WorkSample
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -36,37 +36,37 @@
     }
 
     /** Whether so much work of the engine was seen that more would change its estimate little. */
-    fun isKnown(engine: String): Boolean = (engines[engine]?.works?.size ?: 0) >= COMPARED_WORKS
+    fun isKnown(engine: String): Boolean = (engines[engine]?.samples?.size ?: 0) >= COMPARED_SAMPLES
 
     /**
      * How many times as long as one of the faster engines those engines take that are known. Empty while too few are known
      * to compare them.
      *
-     * Works that were mostly prompts count for the model only, because reports do not tell how much of these the engine held
+     * Samples that were mostly prompts count for the model only, because reports do not tell how much of these the engine held
      * in its cache.
      */
     fun slowdowns(): Map<String, Double> {
-        val works = engines.filterValues { it.works.size >= ENOUGH_WORKS }.mapValues { it.value.works }
-        if (works.size < LEAST_ENGINES) return emptyMap()
-        var slowdowns = works.mapValues { 1.0 }
+        val samples = engines.filterValues { it.samples.size >= ENOUGH_SAMPLES }.mapValues { it.value.samples }
+        if (samples.size < LEAST_ENGINES) return emptyMap()
+        var slowdowns = samples.mapValues { 1.0 }
         repeat(ROUNDS) {
-            val model = fit(works, slowdowns)
-            slowdowns = relative(works.mapValues { (_, ofEngine) -> slowdown(ofEngine, model) })
+            val model = fit(samples, slowdowns)
+            slowdowns = relative(samples.mapValues { (_, ofEngine) -> slowdown(ofEngine, model) })
         }
-        val model = fit(works, slowdowns)
+        val model = fit(samples, slowdowns)
         val compared =
-            works
+            samples
                 .mapValues { (_, ofEngine) -> ofEngine.filter { model.generatingShare(it) >= LEAST_GENERATING_SHARE } }
-                .filterValues { it.size >= ENOUGH_WORKS }
-        val working = engines.count { it.value.works.isNotEmpty() }
+                .filterValues { it.size >= ENOUGH_SAMPLES }
+        val working = engines.count { it.value.samples.isNotEmpty() }
         if (compared.size < maxOf(LEAST_ENGINES.toDouble(), working * LEAST_SHARE)) return emptyMap()
-        return relative(compared.mapValues { (_, ofEngine) -> slowdown(ofEngine.takeLast(COMPARED_WORKS), model) })
+        return relative(compared.mapValues { (_, ofEngine) -> slowdown(ofEngine.takeLast(COMPARED_SAMPLES), model) })
     }
 
     private fun fit(
-        works: Map<String, List<ReportedWork>>,
+        samples: Map<String, List<WorkSample>>,
         slowdowns: Map<String, Double>,
-    ): WorkModel = WorkModel.fit(works.map { (name, ofEngine) -> ofEngine to slowdowns.getValue(name) })
+    ): WorkModel = WorkModel.fit(samples.map { (name, ofEngine) -> ofEngine to slowdowns.getValue(name) })
 
     private fun relative(slowdowns: Map<String, Double>): Map<String, Double> {
         val usual = quantile(slowdowns.values, USUAL)
@@ -74,13 +74,13 @@
     }
 
     /**
-     * A low quantile, because spells in which an engine is slow, and prompts of which it held less than usual, only make works
+     * A low quantile, because spells in which an engine is slow, and prompts of which it held less than usual, only make samples
      * longer.
      */
     private fun slowdown(
-        works: List<ReportedWork>,
+        samples: List<WorkSample>,
         model: WorkModel,
-    ): Double = quantile(works.map { it.milliseconds / model.milliseconds(it) }, LOW)
+    ): Double = quantile(samples.map { it.milliseconds / model.milliseconds(it) }, LOW)
 
     private fun quantile(
         values: Collection<Double>,
@@ -89,19 +89,21 @@
 
     private class Observed(
         private val last: EngineReport? = null,
-        val works: PersistentList<ReportedWork> = persistentListOf(),
+        val samples: PersistentList<WorkSample> = persistentListOf(),
     ) {
         fun next(report: EngineReport): Observed {
-            val work = last?.let { ReportedWork.between(it, report) } ?: return Observed(report, works)
-            val recent = if (works.size < KEPT_WORKS) works else works.removeAt(0)
+            val work = last?.let { WorkSample.between(it, report) } ?: return Observed(report, samples)
+            val recent = if (samples.size < KEPT_SAMPLES) samples else samples.removeAt(0)
             return Observed(report, recent.add(work))
         }
     }
 
     private companion object {
-        const val ENOUGH_WORKS = 3
-        const val COMPARED_WORKS = 9
-        const val KEPT_WORKS = 20
+        const val ENOUGH_SAMPLES = 3
+        const val COMPARED_SAMPLES = 9
+        const val KEPT_SAMPLES = 20
+
+        /** Below this, engines that read prompts are taken for slow in overloads, as missing cached parts look like slowness. */
         const val LEAST_GENERATING_SHARE = 0.7
         const val LOW = 0.3
 
--- a/capacity/src/main/kotlin/hawthorncrank/capacity/internal/WorkModel.kt
+++ b/capacity/src/main/kotlin/hawthorncrank/capacity/internal/WorkModel.kt
@@ -1,37 +1,39 @@
 package hawthorncrank.capacity.internal
 
 /**
- * How long work takes on an engine of usual speed: a weighted sum of its [ReportedWork.quantities]. The weights are
+ * How long work takes on an engine of usual speed: a weighted sum of its [WorkSample.quantities]. The weights are
  * estimated, because they differ between models and engines.
  */
 internal class WorkModel private constructor(
     private val weights: DoubleArray,
 ) {
-    fun milliseconds(work: ReportedWork): Double =
-        work.quantities.indices
-            .sumOf { milliseconds(work, it) }
+    fun milliseconds(sample: WorkSample): Double =
+        sample.quantities.indices
+            .sumOf { milliseconds(sample, it) }
             .coerceAtLeast(SHORTEST)
 
     /** The share of the time that was not spent on prompts. */
-    fun generatingShare(work: ReportedWork): Double =
-        1 - milliseconds(work, ReportedWork.PROMPT_TOKENS) / milliseconds(work)
+    fun generatingShare(sample: WorkSample): Double =
+        1 - milliseconds(sample, WorkSample.PROMPT_TOKENS) / milliseconds(sample)
 
     private fun milliseconds(
-        work: ReportedWork,
+        sample: WorkSample,
         quantity: Int,
-    ) = weights[quantity] * work.quantities[quantity]
+    ) = weights[quantity] * sample.quantities[quantity]
 
     companion object {
         private const val SWEEPS = 30
+
+        /** Milliseconds. Times are divided by this, also while all weights are 0. */
         private const val SHORTEST = 1e-3
 
         /**
-         * Least squares with weights that are not negative, by coordinate descent on the normal equations. [works] has the
-         * works of each engine with how many times as long it takes.
+         * Least squares with weights that are not negative, by coordinate descent on the normal equations. [samples] has the
+         * samples of each engine with how many times as long it takes.
          */
-        fun fit(works: List<Pair<List<ReportedWork>, Double>>): WorkModel {
+        fun fit(samples: List<Pair<List<WorkSample>, Double>>): WorkModel {
             val equations = Equations()
-            for ((ofEngine, slowdown) in works) {
+            for ((ofEngine, slowdown) in samples) {
                 ofEngine.forEach { equations.add(it.quantities, it.milliseconds / slowdown) }
             }
             return WorkModel(equations.solve())
@@ -39,8 +41,8 @@
     }
 
     private class Equations {
-        private val products = Array(ReportedWork.QUANTITIES) { DoubleArray(ReportedWork.QUANTITIES) }
-        private val targets = DoubleArray(ReportedWork.QUANTITIES)
+        private val products = Array(WorkSample.QUANTITIES) { DoubleArray(WorkSample.QUANTITIES) }
+        private val targets = DoubleArray(WorkSample.QUANTITIES)
 
         fun add(
             quantities: DoubleArray,
--- a/capacity/src/main/kotlin/hawthorncrank/capacity/internal/ReportedWork.kt
+++ b/capacity/src/main/kotlin/hawthorncrank/capacity/internal/WorkSample.kt
@@ -6,7 +6,7 @@
  * The work that an engine did between two of its reports, which took [milliseconds]: [events] of each stream, with [running]
  * streams in the mean, and the prefill of [promptTokens].
  */
-internal class ReportedWork(
+internal class WorkSample(
     val milliseconds: Double,
     events: Int,
     running: Double,
@@ -26,7 +26,7 @@
         fun between(
             earlier: EngineReport,
             later: EngineReport,
-        ): ReportedWork? {
+        ): WorkSample? {
             val elapsed = later.at - earlier.at
             if (elapsed !in SHORTEST_MILLISECONDS..LONGEST_MILLISECONDS) return null
             var events = 0
@@ -41,7 +41,7 @@
             }
             if (events < LEAST_EVENTS) return null
             val running = (earlier.running + later.running) / 2.0
-            return ReportedWork(elapsed.toDouble(), events, running, promptTokens)
+            return WorkSample(elapsed.toDouble(), events, running, promptTokens)
         }
 
         /** Reports are as of some hundred milliseconds ago, which would distort a shorter time too much. */
