Log where each configuration version came from and which one a request was read under

After the reports of entries that went back to an older configuration, the logs could not tell an entry with an older version in force from a request that was read under one version and decided under another. Event 1501 names who showed that a version may come into force and how long it was staged, event 1542 the version under which the request was read beside the one in force at its end.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
@@ -4,7 +4,8 @@
  * The properties of a request that the control thread uses. [contentDigest] covers organisation, model or path, and
  * body. [finishBy] is a time on the entry's clock and comes from the caller's deadline header or the class. [routeTier]
  * is the tier of the request's route, which the tier of its organisation may replace. [sharedParts] identify the parts of
- * the prompt that other requests may have too, in order.
+ * the prompt that other requests may have too, in order. [configurationVersion] is the version of the configuration under
+ * which the request was read, or null if the reading did not depend on one.
  */
 data class CallerRequest(
     val number: Long,
@@ -19,6 +20,7 @@
     val retryPolicy: RetryPolicy? = null,
     val routeTier: Int? = null,
     val sharedParts: List<String> = emptyList(),
+    val configurationVersion: Long? = null,
 )
 
 /**
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
@@ -20,8 +20,8 @@
     val current = state.configuration
     if (version <= current.version && rules.versionsOnlyIncrease) return logLowerVersion(version)
     val link = if (confirmed && state.controlLink.open) state.controlLink.number else null
-    if (confirmed && !current.inForce) return applyVersion(version, configuration)
-    if (!rules.versionsOnlyIncrease) return applyVersion(version, configuration)
+    if (confirmed && !current.inForce) return applyVersion(version, configuration, VersionSource.CONTROL)
+    if (!rules.versionsOnlyIncrease) return applyVersion(version, configuration, VersionSource.CONTROL)
     val known = current.staged[version]
     val next =
         known?.copy(confirmedOnLink = link ?: known.confirmedOnLink) ?: StagedVersion(version, configuration, now, link)
@@ -122,7 +122,7 @@
             state.configuration.answeredVersions.keys
                 .sorted(),
     )
-    applyVersion(best.version, best.configuration)
+    applyVersion(best.version, best.configuration, VersionSource.NEIGHBOURS)
 }
 
 private fun Reduction.applyDueVersions() {
@@ -130,22 +130,30 @@
     if (!current.inForce) return
     val majority = settings.zoneEntries.size / 2 + 1
     val due =
-        current.staged.values.filter { candidate ->
+        current.staged.values.mapNotNull { candidate ->
             val others =
                 current.noticedVersions.count { (entry, version) ->
                     entry != settings.name &&
                         version >= candidate.version
                 }
             val confirmed = state.controlLink.open && candidate.confirmedOnLink == state.controlLink.number
-            others + 1 >= majority || confirmed && now - candidate.stagedAt >= CONFIRMED_WAIT_MILLISECONDS
+            when {
+                others + 1 >= majority -> candidate to VersionSource.ZONE_MAJORITY
+                confirmed && now - candidate.stagedAt >= CONFIRMED_WAIT_MILLISECONDS ->
+                    candidate to VersionSource.CONTROL
+                else -> null
+            }
         }
-    due.maxByOrNull { it.version }?.let { applyVersion(it.version, it.configuration) }
+    val (newest, source) = due.maxByOrNull { (candidate, _) -> candidate.version } ?: return
+    applyVersion(newest.version, newest.configuration, source)
 }
 
 private fun Reduction.applyVersion(
     version: Long,
     newConfiguration: Configuration,
+    source: VersionSource,
 ) {
+    val stagedAt = state.configuration.staged[version]?.stagedAt
     val first = !state.configuration.inForce
     configuration {
         it.copy(
@@ -161,7 +169,12 @@
             highestAnswer = null,
         )
     }
-    record(EntryDecisionEvent.CONFIGURATION_APPLIED, "version" to version)
+    record(
+        EntryDecisionEvent.CONFIGURATION_APPLIED,
+        "version" to version,
+        "source" to source.name.lowercase(),
+        "staged_for" to stagedAt?.let { now - it },
+    )
     emit(EntryEffect.ConfigurationApplied(version, newConfiguration))
     notifyZone()
     configurationChanged()
@@ -208,6 +221,9 @@
     state = state.copy(configuration = change(state.configuration))
 }
 
+/** Who showed that a version may come into force: control, or the entries of the zone. */
+private enum class VersionSource { CONTROL, ZONE_MAJORITY, NEIGHBOURS }
+
 private const val CONFIRMED_WAIT_MILLISECONDS = 2_000L
 private const val QUESTION_INTERVAL_MILLISECONDS = 1_000L
 private const val CONTROL_WAIT_MILLISECONDS = 3_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -181,6 +181,7 @@
         "started_after" to active.startedAt?.let { it - active.arrivedAt },
         "first_byte_after" to active.firstByteAt?.let { it - active.arrivedAt },
         "ended_after" to now - active.arrivedAt,
+        "read_under" to request.configurationVersion,
         "configuration" to state.configuration.version,
         "proof_age" to confirmationAge,
         "list_age" to listAge,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
@@ -122,6 +122,7 @@
                     bodyBytes = received.body.size,
                     streamed = streamed,
                     finishBy = allowed?.let { now() + it },
+                    configurationVersion = view.version,
                 ),
             )
         }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -50,6 +50,7 @@
             routeTier = route.tier,
             // The last part is specific to this request and not shared.
             sharedParts = caller.promptParts.dropLast(1).map { it.identifier.toULong().toString(HEXADECIMAL) },
+            configurationVersion = view.version,
         )
     }
 
