Decide each request under one configuration

What callers saw: while the configuration changed, requests were refused with 403 as only an older version would, although the entry served the newer one, and a request whose key was taken away during its upload ran.

Cause: an entry looked up the key and the route when the head of a request had arrived, and the class, which is named after the route's timeout, in the configuration that was in force when the control thread decided. A change between the two left a class that no longer existed. The gap is the upload, and without an upload the queue of the control thread, which a paused or busy machine makes as long as its pause. Keys and routes were also replaced one after the other.

Change: once the body is complete, the request is read under the configuration in force, with its key, its route and its class, and carries that version. If the control thread has another version in force, it has the request read again.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
@@ -40,6 +40,14 @@
         val recorded: Boolean,
     ) : EntryEffect
 
+    /**
+     * Read the request again under the configuration in force and report its arrival anew. It was read under another
+     * version and is not known to the control thread yet.
+     */
+    data class ReadRequestAgain(
+        val requestNumber: Long,
+    ) : EntryEffect
+
     /** Answer the caller with a refusal or an error. No byte from an upstream has reached the caller. */
     data class RefuseCaller(
         val requestNumber: Long,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -9,8 +9,15 @@
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.protocol.TrafficClass
 
-/** Refuses a new request, queues it, or first requests the claim that it needs. */
+/**
+ * Refuses a new request, queues it, or first requests the claim that it needs. A request that was read under another
+ * configuration than the one in force is read again, so that its key, route and class are those of one version.
+ */
 internal fun Reduction.requestArrived(request: CallerRequest) {
+    val readUnder = request.configurationVersion
+    if (readUnder != null && readUnder != state.configuration.version) {
+        return emit(EntryEffect.ReadRequestAgain(request.number))
+    }
     explain(request.number, "arrived from ${request.organisation} in class ${request.className}")
     val active = ActiveRequest(request, now, RequestPhase.Queued)
     update(active)
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ApiKeyAuthenticator.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ApiKeyAuthenticator.kt
@@ -3,7 +3,6 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import hawthorncrank.common.KeyHash
 import hawthorncrank.protocol.Organisation
 import reactor.core.publisher.Mono
 import reactor.core.scheduler.Schedulers
@@ -32,26 +31,14 @@
     private val verifications = ConcurrentHashMap<Verification, Mono<Result<Organisation, Rejection>>>()
     private val pending = ConcurrentHashMap<String, AtomicInteger>()
 
-    @Volatile private var organisations: Map<String, Organisation> = emptyMap()
-
-    @Volatile private var organisationsByDigest: Map<String, Organisation> = emptyMap()
-
-    fun replaceOrganisations(replacement: List<Organisation>) {
-        organisations = replacement.associateBy { it.name }
-        organisationsByDigest =
-            replacement
-                .flatMap { organisation -> organisation.keyHashes.filter(KeyHash::isDigest).map { it to organisation } }
-                .toMap()
-    }
-
-    /** Returns the organisation whose configuration stores this key as a fast digest, or null. */
-    fun organisationByDigest(key: String): Organisation? =
-        if (organisationsByDigest.isEmpty()) null else organisationsByDigest[KeyHash.digest(key)]
-
-    fun organisationOf(key: String): Mono<Result<Organisation, Rejection>> {
-        organisationByDigest(key)?.let { return Mono.just(Ok(it)) }
+    /** Finds the organisation of [key] among [organisations], those of one version of the configuration. */
+    fun organisationOf(
+        key: String,
+        organisations: OrganisationKeys,
+    ): Mono<Result<Organisation, Rejection>> {
+        organisations.findByDigest(key)?.let { return Mono.just(Ok(it)) }
         val organisation =
-            organisations[key.substringBeforeLast('.', "")] ?: return Mono.just(Err(Rejection.InvalidApiKey))
+            organisations.find(key.substringBeforeLast('.', "")) ?: return Mono.just(Err(Rejection.InvalidApiKey))
         val digest = saltedDigest(key)
         val known = results[digest]
         if (known != null && known.hashes == organisation.keyHashes) return Mono.just(known.result(organisation))
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -32,6 +32,7 @@
     private val activeExchanges: ActiveExchanges,
     private val view: () -> ConfigurationView?,
     private val rejectionsAreFinal: () -> Boolean,
+    private val now: () -> Long,
     private val bodyTime: Duration,
     firstNumber: Long,
     private val log: EventLog,
@@ -55,69 +56,70 @@
         request: HttpServerRequest,
         response: HttpServerResponse,
     ): Publisher<Void> {
-        val current = view() ?: return reject(request, response, Rejection.NotReady)
+        val current = view() ?: return write(response, rejected(request, Rejection.NotReady))
         var connection: Connection? = null
         request.withConnection { connection = it }
         return callers.admit(request, current).flatMapMany { result ->
             result.fold(
-                success = { admitted -> receive(request, response, admitted, checkNotNull(connection)) },
-                // An outdated configuration may lack a route or a key that the newest configuration has.
-                failure = {
-                    reject(
-                        request,
-                        response,
-                        if (rejectionsAreFinal()) it else Rejection.UnconfirmedConfiguration,
-                    )
-                },
+                success = { receive(request, response, Admission(current, it), checkNotNull(connection)) },
+                failure = { write(response, rejected(request, confirmed(it))) },
             )
         }
     }
 
+    // An outdated configuration may lack a route or a key that the newest configuration has.
+    private fun confirmed(rejection: Rejection): Rejection =
+        if (rejectionsAreFinal()) rejection else Rejection.UnconfirmedConfiguration
+
     private fun receive(
         request: HttpServerRequest,
         response: HttpServerResponse,
-        admitted: AdmittedCaller,
+        admission: Admission,
         connection: Connection,
     ): Publisher<Void> =
-        body(request).publishOn(callers.readOn).flatMapMany { result ->
+        body(request).flatMapMany { result ->
             result.fold(
-                success = { bytes ->
-                    val received =
-                        ReceivedRequest(
-                            request.method(),
-                            request.uri(),
-                            request.requestHeaders(),
-                            bytes,
-                            admitted.organisation,
-                        )
-                    exchange(admitted, received, response, connection)
-                },
-                failure = { reject(request, response, it) },
+                success = { bytes -> exchange(request, response, bytes, admission, connection) },
+                failure = { write(response, rejected(request, it)) },
             )
         }
 
     private fun exchange(
-        admitted: AdmittedCaller,
-        received: ReceivedRequest,
+        request: HttpServerRequest,
         response: HttpServerResponse,
+        body: ByteArray,
+        admission: Admission,
         connection: Connection,
     ): Publisher<Void> {
         val number = numbers.getAndIncrement()
         response.header(REQUEST_HEADER, "$entryName-$number")
-        return admitted.read(received, number).fold(
-            success = { parsed -> run(parsed, response, connection) },
-            failure = { write(response, it) },
-        )
+        val reading =
+            RequestReading(request, number, body, now(), admission, callers, view) { rejected(request, confirmed(it)) }
+        return reading.read().flatMapMany { result ->
+            result.fold(
+                success = { parsed -> run(parsed, reading, response, connection) },
+                failure = { write(response, it) },
+            )
+        }
     }
 
     private fun run(
         parsed: ParsedRequest,
+        reading: RequestReading,
         response: HttpServerResponse,
         connection: Connection,
     ): Publisher<Void> {
         val loop = connection.channel().eventLoop()
         val exchange =
-            Exchange(parsed.callerRequest.number, parsed.outgoing, loop, activeExchanges, log, connection::dispose)
+            Exchange(
+                parsed.callerRequest.number,
+                parsed.outgoing,
+                reading::read,
+                loop,
+                activeExchanges,
+                log,
+                connection::dispose,
+            )
         activeExchanges.register(exchange)
         activeExchanges.report(EntryEvent.RequestArrived(parsed.callerRequest))
         return exchange.answer
@@ -136,11 +138,10 @@
             }
     }
 
-    private fun reject(
+    private fun rejected(
         request: HttpServerRequest,
-        response: HttpServerResponse,
         rejection: Rejection,
-    ): Publisher<Void> {
+    ): CallerAnswer.Complete {
         log.record(
             EntryEventCode.REQUEST_REJECTED,
             "request" to callers.identifierOf(request.requestHeaders()),
@@ -150,7 +151,7 @@
             "problem" to rejection.problem,
             "configuration" to view()?.version,
         )
-        return write(response, callers.refusals.rejection(rejection))
+        return callers.refusals.rejection(rejection)
     }
 
     private fun write(
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/ConfigurationView.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/ConfigurationView.kt
@@ -22,6 +22,8 @@
             .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
     private val modelServices = configuration.routeServices.filter { it.servesModels }.mapTo(HashSet()) { it.name }
 
+    val organisations = OrganisationKeys(configuration.organisations)
+
     /** The organisation of requests without a key, on routes that allow them. */
     val anonymous: Organisation? = configuration.organisations.firstOrNull { it.name == ANONYMOUS_ORGANISATION }
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EffectExecutor.kt
@@ -27,6 +27,7 @@
             is EntryEffect.StartAttempt -> start(effect)
             is EntryEffect.CancelAttempt -> activeExchanges.cancel(effect.attemptNumber)
             is EntryEffect.ReleaseAnswer -> activeExchanges.exchange(effect.requestNumber)?.release(effect.recorded)
+            is EntryEffect.ReadRequestAgain -> activeExchanges.exchange(effect.requestNumber)?.readAgain()
             is EntryEffect.RefuseCaller ->
                 activeExchanges
                     .exchange(
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -43,7 +43,7 @@
     private val activeExchanges = ActiveExchanges(client, clock::now, report = control::send)
     private val keys = ApiKeyAuthenticator(verify)
     private val callerInterface =
-        if (routed == null) nativeCallers(keys, clock::now) else routedCallers(keys, routed.protocol, clock::now)
+        if (routed == null) nativeCallers(keys) else routedCallers(routed.protocol)
     private val links = EntryLinks(settings, control::send, log)
     private val polls =
         UpstreamPolls(settings.availabilityZone, settings.platformAddress, { view }, control::send, log)
@@ -56,7 +56,7 @@
             metrics,
             log,
             callerInterface.refusals,
-            ::apply,
+            { view = it },
             { readiness = it },
             { listPolls?.enabled = it },
             { connections.closeWhenAnswered() },
@@ -73,6 +73,7 @@
             activeExchanges,
             { view },
             ::rejectionsAreFinal,
+            clock::now,
             limits.bodyTime,
             firstNumber,
             log,
@@ -178,11 +179,6 @@
      */
     private fun rejectionsAreFinal(): Boolean = routed == null || readiness.ready || stopping
 
-    private fun apply(applied: ConfigurationView) {
-        keys.replaceOrganisations(applied.configuration.organisations)
-        view = applied
-    }
-
     private fun check(file: String): Result<Unit, SettingsFailure> =
         settings.firstFailure(file)?.let { Err(it) } ?: Ok(Unit)
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -1,5 +1,7 @@
 package hawthorncrank.entry.internal
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import hawthorncrank.common.EventLog
 import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.AttemptEnd
@@ -18,11 +20,12 @@
 /**
  * One caller's request and its answer. Its state is confined to [loop], the event loop of the caller's connection;
  * effects of the control thread are dispatched to that loop. Only bytes of the current attempt reach the caller.
- * [closeConnection] closes the caller's connection.
+ * [closeConnection] closes the caller's connection. [read] reads the request under the configuration in force.
  */
 internal class Exchange(
     val number: Long,
-    private val request: OutgoingRequest,
+    private var request: OutgoingRequest,
+    private val read: () -> Mono<Result<ParsedRequest, CallerAnswer.Complete>>,
     private val loop: EventLoop,
     private val activeExchanges: ActiveExchanges,
     private val log: EventLog,
@@ -68,6 +71,26 @@
         loop.schedule({ run(attempt) }, SHORTEST_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
+    /** Reads the request again and reports its arrival, or delivers the rejection. No attempt was started yet. */
+    fun readAgain() =
+        loop.execute {
+            if (callerGone) return@execute
+            read()
+                .publishOn(Schedulers.fromExecutor(loop))
+                .subscribe({ it.fold(success = ::arrivedAgain, failure = ::deliver) }, ::readingFailed)
+        }
+
+    private fun arrivedAgain(parsed: ParsedRequest) {
+        if (callerGone) return
+        request = parsed.outgoing
+        activeExchanges.report(EntryEvent.RequestArrived(parsed.callerRequest))
+    }
+
+    private fun readingFailed(failure: Throwable) {
+        log.record(EntryEventCode.EXCHANGE_FAILED, "request" to number, "error" to failure)
+        deliver(refusalAnswer(Refusal.NotProcessed))
+    }
+
     fun cancel(attempt: Attempt) = loop.execute { attempt.cancelByControl() }
 
     /** Sends the held answer. If the outcome is not yet [recorded], a header tells the caller that it is pending. */
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/NativeCallers.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/NativeCallers.kt
@@ -10,15 +10,12 @@
 import reactor.netty.http.server.HttpServerRequest
 
 /** The product's own API for callers: bearer keys, chat completions and the paths of plain services. */
-internal fun nativeCallers(
-    keys: ApiKeyAuthenticator,
-    now: () -> Long,
-): CallerInterface {
+internal fun nativeCallers(keys: ApiKeyAuthenticator): CallerInterface {
     val format = nativeExchangeFormat()
     return CallerInterface(
         admit = { request, view ->
-            val reader = RequestReader(view, now, format)
-            bearerOrganisation(request, keys).map { result -> result.map { AdmittedCaller(it, reader::read) } }
+            val reader = RequestReader(view, format)
+            bearerOrganisation(request, view, keys).map { result -> result.map { AdmittedCaller(it, reader::read) } }
         },
         // Parsing a large completion request must not delay the streams on the event loop.
         readOn = Schedulers.parallel(),
@@ -28,10 +25,11 @@
 
 private fun bearerOrganisation(
     request: HttpServerRequest,
+    view: ConfigurationView,
     keys: ApiKeyAuthenticator,
 ): Mono<Result<Organisation, Rejection>> {
     val key = bearerKey(request) ?: return Mono.just(Err(Rejection.MissingApiKey))
-    return keys.organisationOf(key)
+    return keys.organisationOf(key, view.organisations)
 }
 
 private fun bearerKey(request: HttpServerRequest): String? {
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
@@ -87,6 +87,13 @@
         retryAfterMilliseconds = 1_000,
     )
 
+    data object ConfigurationChanging : Rejection(
+        503,
+        "the configuration changed several times while the request waited to be processed",
+        "send the request again",
+        retryAfterMilliseconds = 500,
+    )
+
     data object NotReady : Rejection(
         503,
         "this entry has no configuration yet",
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
@@ -15,13 +15,14 @@
 import io.netty.handler.codec.http.HttpMethod
 import java.security.MessageDigest
 
-/** A request as received, with its complete body, from an admitted caller. */
+/** A request as received, from an admitted caller. Its body was complete at [receivedAt] on the entry's clock. */
 internal class ReceivedRequest(
     val method: HttpMethod,
     val uri: String,
     val headers: HttpHeaders,
     val body: ByteArray,
     val organisation: Organisation,
+    val receivedAt: Long,
 ) {
     val path: String get() = uri.substringBefore('?')
 }
@@ -35,7 +36,6 @@
 /** Validates a received request of the product's own API and converts it for the control thread. */
 internal class RequestReader(
     private val view: ConfigurationView,
-    private val now: () -> Long,
     private val format: ExchangeFormat,
 ) {
     fun read(
@@ -121,7 +121,7 @@
                     contentDigest = contentDigest(received.organisation.name, content, received.body),
                     bodyBytes = received.body.size,
                     streamed = streamed,
-                    finishBy = allowed?.let { now() + it },
+                    finishBy = allowed?.let { received.receivedAt + it },
                     configurationVersion = view.version,
                 ),
             )
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedCallers.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedCallers.kt
@@ -11,12 +11,8 @@
 import reactor.netty.http.server.HttpServerRequest
 
 /** The API for callers of the configuration's routes, with the headers that [protocol] defines. */
-internal fun routedCallers(
-    keys: ApiKeyAuthenticator,
-    protocol: ExchangeProtocol,
-    now: () -> Long,
-): CallerInterface {
-    val admission = RoutedAdmission(keys, protocol, now)
+internal fun routedCallers(protocol: ExchangeProtocol): CallerInterface {
+    val admission = RoutedAdmission(protocol)
     return CallerInterface(
         admit = { request, view -> Mono.just(admission.admit(request, view)) },
         readOn = Schedulers.immediate(),
@@ -26,9 +22,7 @@
 }
 
 private class RoutedAdmission(
-    private val keys: ApiKeyAuthenticator,
     private val protocol: ExchangeProtocol,
-    private val now: () -> Long,
 ) {
     fun admit(
         request: HttpServerRequest,
@@ -38,9 +32,9 @@
         val path = request.uri().substringBefore('?')
         val route = view.requestRoute(headers.get(HttpHeaderNames.HOST), path) ?: return Err(Rejection.NoRoute)
         val caller = protocol.readCallerHeaders(headers)
-        val found = caller.key?.let(keys::organisationByDigest) ?: view.anonymous.takeIf { route.anonymous }
+        val found = caller.key?.let(view.organisations::findByDigest) ?: view.anonymous.takeIf { route.anonymous }
         val organisation = found ?: return Err(Rejection.InvalidRouteKey)
-        val reader = RoutedRequestReader(protocol, now, view, route, caller)
+        val reader = RoutedRequestReader(protocol, view, route, caller)
         return Ok(AdmittedCaller(organisation) { received, number -> Ok(reader.read(received, number)) })
     }
 }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -16,7 +16,6 @@
 /** Converts one routed request for the control thread and determines what each attempt sends. */
 internal class RoutedRequestReader(
     private val protocol: ExchangeProtocol,
-    private val now: () -> Long,
     private val view: ConfigurationView,
     private val route: RequestRoute,
     private val caller: CallerHeaders,
@@ -43,7 +42,7 @@
                 contentDigest(received.organisation.name, "${received.method} ${received.uri}", received.body),
             bodyBytes = received.body.size,
             streamed = route.streamed,
-            finishBy = allowed.minOrNull()?.let { now() + it },
+            finishBy = allowed.minOrNull()?.let { received.receivedAt + it },
             identifier = caller.identifier,
             retryPolicy =
                 RetryPolicy(idempotent, route.repetition == Repetition.RESUMABLE, route.engineAttempts),
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/ApiKeyAuthenticatorTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/ApiKeyAuthenticatorTest.kt
@@ -24,10 +24,10 @@
 
     @Test
     fun `valid and invalid keys are verified once`() {
-        keys.replaceOrganisations(listOf(organisation("crew", "crew.secret")))
+        val organisations = organisations("crew" to "crew.secret")
         repeat(3) {
-            assertEquals("crew", check("crew.secret").get()?.name)
-            assertEquals(Rejection.InvalidApiKey, check("crew.wrong").getError())
+            assertEquals("crew", check("crew.secret", organisations).get()?.name)
+            assertEquals(Rejection.InvalidApiKey, check("crew.wrong", organisations).getError())
         }
         assertEquals(2, verifications.get())
     }
@@ -35,11 +35,10 @@
     /** Guards against a revoked key that stays valid in the cache. */
     @Test
     fun `a changed hash invalidates a cached key`() {
-        keys.replaceOrganisations(listOf(organisation("crew", "crew.secret")))
-        check("crew.secret")
-        keys.replaceOrganisations(listOf(organisation("crew", "crew.other")))
-        assertEquals(Rejection.InvalidApiKey, check("crew.secret").getError())
-        assertEquals("crew", check("crew.other").get()?.name)
+        check("crew.secret", organisations("crew" to "crew.secret"))
+        val changed = organisations("crew" to "crew.other")
+        assertEquals(Rejection.InvalidApiKey, check("crew.secret", changed).getError())
+        assertEquals("crew", check("crew.other", changed).get()?.name)
     }
 
     /** Guards against a revoked key that is accepted because a verification began before the change. */
@@ -47,11 +46,9 @@
     fun `a verification that began before a change is not used for the changed hash`() {
         val release = CountDownLatch(1)
         val slow = authenticatorBlockedBy(release)
-        slow.replaceOrganisations(listOf(organisation("crew", "crew.secret")))
-        slow.organisationOf("crew.secret").toFuture()
+        slow.organisationOf("crew.secret", organisations("crew" to "crew.secret")).toFuture()
         assertTrue(begun.await(10, TimeUnit.SECONDS))
-        slow.replaceOrganisations(listOf(organisation("crew", "crew.other")))
-        val afterChange = slow.organisationOf("crew.secret").toFuture()
+        val afterChange = slow.organisationOf("crew.secret", organisations("crew" to "crew.other")).toFuture()
         release.countDown()
         assertEquals(Rejection.InvalidApiKey, afterChange.get(10, TimeUnit.SECONDS)?.getError())
     }
@@ -61,11 +58,11 @@
     fun `requests with the same key share one verification`() {
         val release = CountDownLatch(1)
         val slow = authenticatorBlockedBy(release)
-        slow.replaceOrganisations(listOf(organisation("crew", "crew.secret")))
+        val organisations = organisations("crew" to "crew.secret")
         val answers =
             Flux
                 .range(0, 50)
-                .flatMap({ slow.organisationOf("crew.secret") }, 50)
+                .flatMap({ slow.organisationOf("crew.secret", organisations) }, 50)
                 .collectList()
                 .toFuture()
         release.countDown()
@@ -75,7 +72,7 @@
 
     @Test
     fun `a key of an unknown organisation is not verified`() {
-        listOf("", ".", "crew", "crew.secret", "nobody.crew.secret").forEach { check(it) }
+        listOf("", ".", "crew", "crew.secret", "nobody.crew.secret").forEach { check(it, organisations()) }
         assertEquals(0, verifications.get())
     }
 
@@ -88,9 +85,9 @@
                 if (key.startsWith("crew")) release.await()
                 key == hash
             }
-        slow.replaceOrganisations(listOf(organisation("crew", "x"), organisation("mill", "mill.secret")))
+        val organisations = organisations("crew" to "x", "mill" to "mill.secret")
         val answers = mutableListOf<Result<Organisation, Rejection>>()
-        val attempts = Flux.range(0, 100).flatMap({ slow.organisationOf("crew.wrong$it") }, 100)
+        val attempts = Flux.range(0, 100).flatMap({ slow.organisationOf("crew.wrong$it", organisations) }, 100)
         val done = CountDownLatch(1)
         attempts.doOnNext { synchronized(answers) { answers += it } }.doOnComplete { done.countDown() }.subscribe()
         synchronized(answers) { assertEquals(96, answers.count { it == Err(Rejection.KeyVerificationBusy) }) }
@@ -99,7 +96,7 @@
         assertEquals(
             "mill",
             slow
-                .organisationOf("mill.secret")
+                .organisationOf("mill.secret", organisations)
                 .block()
                 ?.get()
                 ?.name,
@@ -115,10 +112,11 @@
             key == hash
         }
 
-    private fun check(key: String) = checkNotNull(keys.organisationOf(key).block())
+    private fun check(
+        key: String,
+        organisations: OrganisationKeys,
+    ) = checkNotNull(keys.organisationOf(key, organisations).block())
 
-    private fun organisation(
-        name: String,
-        hash: String,
-    ) = Organisation(name, "north", emptyList(), listOf(hash))
+    private fun organisations(vararg hashes: Pair<String, String>) =
+        OrganisationKeys(hashes.map { (name, hash) -> Organisation(name, "north", emptyList(), listOf(hash)) })
 }
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/LateSendingTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/LateSendingTest.kt
@@ -56,7 +56,8 @@
     fun `a request whose caller left after its decision is not sent`() {
         val loop = DefaultEventLoop()
         val exchanges = ActiveExchanges(client(delay = 0), clock::now) {}
-        val exchange = Exchange(1, OUTGOING, loop, exchanges, EntryFixture.SILENT) {}
+        val exchange =
+            Exchange(1, OUTGOING, { error("nothing is read again") }, loop, exchanges, EntryFixture.SILENT) {}
         loop.execute {
             exchange.start(START)
             exchange.callerLeft()
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -3,12 +3,14 @@
 import com.github.michaelbull.result.unwrap
 import hawthorncrank.common.KeyHash
 import hawthorncrank.common.MillisecondClock
+import hawthorncrank.common.Reducer
 import hawthorncrank.common.systemClock
 import hawthorncrank.entry.CallerHeaders
 import hawthorncrank.entry.ExchangeProtocol
 import hawthorncrank.entry.RoutedTraffic
 import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.EntryBehaviour
+import hawthorncrank.entry.core.EntryEffect
 import hawthorncrank.entry.core.EntryEvent
 import hawthorncrank.entry.core.EntrySettings
 import hawthorncrank.entry.core.EntryState
@@ -56,6 +58,8 @@
                 ),
         )
 
+    val reducer = entryReducer(settings)
+
     private fun acceptUnlessNotRun(
         @Suppress("UNUSED_PARAMETER") identifier: String,
         @Suppress("UNUSED_PARAMETER") status: Int,
@@ -94,25 +98,30 @@
         protocol: ExchangeProtocol = protocol(),
         clock: MillisecondClock = systemClock(),
         client: UpstreamClient = upstreamClient(),
+        reducer: Reducer<EntryState, EntryEvent, EntryEffect> = this.reducer,
     ): EntryProcess<EntryState> {
         val process =
             EntryProcess(
                 EntryFixture.settings(),
                 clock,
                 EntryFixture.SILENT,
-                entryReducer(settings),
+                reducer,
                 initialEntryState(settings),
                 KeyHash::verify,
                 client = client,
                 routed = RoutedTraffic(protocol) { Mono.never() },
             ).open("test").unwrap()
-        val update = ControlToEntry.ConfigurationUpdate(1, configuration(routes, organisation), confirmed = true)
         process.send(EntryEvent.ControlLinkOpened)
-        process.send(EntryEvent.ControlMessageReceived(update))
+        process.send(update(1, configuration(routes, organisation)))
         process.send(EntryEvent.UpstreamsListed(listOf(engine(enginePort))))
         return process
     }
 
+    fun update(
+        version: Long,
+        configuration: Configuration,
+    ) = EntryEvent.ControlMessageReceived(ControlToEntry.ConfigurationUpdate(version, configuration, confirmed = true))
+
     /** Sends a request, again and again until the entry has a configuration. */
     fun send(
         port: Int,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedRequestReaderTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedRequestReaderTest.kt
@@ -39,8 +39,8 @@
         val promptParts = parts.mapIndexed { index, tokens -> PromptPart(index.toLong(), tokens) }
         val caller = CallerHeaders("attempt", null, null, promptTokens, null, promptParts, null)
         val received =
-            ReceivedRequest(HttpMethod.POST, "/model/", DefaultHttpHeaders(), ByteArray(0), organisation)
-        val reader = RoutedRequestReader(RoutedEntryFixture.protocol(), { 0 }, view, route, caller)
+            ReceivedRequest(HttpMethod.POST, "/model/", DefaultHttpHeaders(), ByteArray(0), organisation, 0)
+        val reader = RoutedRequestReader(RoutedEntryFixture.protocol(), view, route, caller)
         return assertIs<RequestTarget.Model>(reader.read(received, 1).callerRequest.target)
     }
 }
