Report entries again that linked before their replica was admitted

Cause: a replica proposes the link of an entry once, when the entry says hello, and a replica that is not admitted yet has its proposals refused for good.

Change: a replica reports a linked entry again after 5 s if the group does not know of it. By then the old link of an entry that moved is closed, so two replicas do not report the same entry in turn.

Measured: the new case of WaitingReplicaTest gets null instead of control-4 without the change, and passes with it.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -126,6 +126,7 @@
     if (now < state.nextDutiesAt) return
     state = state.copy(nextDutiesAt = now + DUTY_INTERVAL_MILLISECONDS)
     reportLostEntries()
+    reportEntriesAgain()
     measureLag()
     leaderDuties()
 }
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -63,7 +63,14 @@
 ) {
     val isNew = event.link !in state.entryLinks
     val openedAt = state.entryLinks[event.link]?.openedAt ?: now
-    val session = EntryLink(event.entry, hello.availabilityZone, openedAt, heldVersion = hello.appliedVersion)
+    val session =
+        EntryLink(
+            event.entry,
+            hello.availabilityZone,
+            openedAt,
+            heldVersion = hello.appliedVersion,
+            reportedAt = now,
+        )
     state =
         state.copy(
             entryLinks = state.entryLinks.put(event.link, session),
@@ -85,11 +92,26 @@
     entry: String,
     fresh: Boolean,
 ) {
-    val replica = state.replica.self.name
-    if (!fresh && state.control.entries[entry]?.replica == replica) return
-    proposeOwn("linked/${freshIdentifier()}", ControlOperation.EntryLinked(entry, replica, fresh))
+    if (!fresh && isReported(entry)) return
+    val operation = ControlOperation.EntryLinked(entry, state.replica.self.name, fresh)
+    proposeOwn("linked/${freshIdentifier()}", operation)
 }
 
+private fun ControlStep.isReported(entry: String): Boolean =
+    state.control.entries[entry]?.replica == state.replica.self.name
+
+/**
+ * Reports linked entries again that the group does not know: a replica that is not admitted yet cannot report any. An
+ * entry that has moved to another replica has closed its link here by then.
+ */
+internal fun ControlStep.reportEntriesAgain() =
+    state.entryLinks
+        .filterValues { now - it.reportedAt >= REPORT_AGAIN_MILLISECONDS && !isReported(it.entry) }
+        .forEach { (link, session) ->
+            state = state.copy(entryLinks = state.entryLinks.put(link, session.copy(reportedAt = now)))
+            reportLinked(session.entry, fresh = false)
+        }
+
 private fun ControlStep.handleSuspectReport(
     entry: String,
     report: EntryToControl.SuspectReport,
@@ -237,6 +259,9 @@
 private const val MAXIMUM_LAG_MILLISECONDS = 7_000L
 private const val LAG_REPORT_WINDOW_MILLISECONDS = 500L
 
+// Longer than the 4 s after which a silent link closes.
+private const val REPORT_AGAIN_MILLISECONDS = 5_000L
+
 // A later report would be judged against answers that began after the crash.
 private const val CRASH_REPORT_MILLISECONDS = 5_000L
 private const val REPORTED_REQUESTS_LIMIT = 64
--- a/control/src/test/kotlin/hawthorncrank/control/internal/WaitingReplicaTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/WaitingReplicaTest.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.control.internal
 
 import hawthorncrank.consensus.ReplicaSettings
+import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.OperatorAnswer
 import hawthorncrank.protocol.OperatorCommand
 import kotlin.test.Test
@@ -53,6 +54,16 @@
         }
     }
 
+    /** Fails if the group counts too few entries, and entries do not learn of each other, after the first start. */
+    @Test
+    fun `an entry that links to a waiting replica stays unknown after the replica is admitted`() {
+        group.entry("control-4", 1, EntryToControl.EntryHello("entry-1", "zone", 0), "entry-1")
+        group.run(500)
+        group.deliver(group.follower(), ControlEvent.Leave)
+        group.run(10_000)
+        assertEquals("control-4", group.state(group.leader()).control.entries["entry-1"]?.replica)
+    }
+
     @Test
     fun `a replica may stop at once while none waits`() {
         val group = VirtualGroup(size = 3, timeouts = ReplicaSettings(emptyList(), targetVoters = 3))
