Relay requests to another entry while no upstream can be reached

Requests waited at the entry until their deadline, although other entries reached the same engines.

Cause: an entry that reaches no upstream has no way to serve its callers, and to be not ready does not help them: open connections stay with their entry, and the load balancer uses all entries of a zone when fewer than half are ready. Nothing told a lost network path from engines that are down, and without a connection error nothing showed it for 10 s.

Change: - When a connection attempt times out and no upstream was heard from meanwhile, all upstreams are excluded and probed at once. One silent engine among others that answer does not set this off. - A request whose upstreams are all excluded goes to another entry, which has control's list of entries, at its relay_address. It goes as the caller sent it, with the time that is left and the last event that the caller has. The other entry decides on it as on any request and never relays it again; if it cannot serve it, it says so with 421, and a third entry is asked. - A relay that breaks off counts as an upstream's connection that breaks. - Crashes that such an entry suspects are not reported.

--- a/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlCommand.kt
@@ -177,13 +177,18 @@
         val detail: String,
     ) : ControlOperation
 
-    /** An entry opened its link to [replica]. [fresh] is true when the entry holds no state from before a restart. */
+    /**
+     * An entry opened its link to [replica]. [fresh] is true when the entry holds no state from before a restart.
+     * [relayAddress] is where it accepts requests from other entries, or empty.
+     */
     @Serializable
     @SerialName("linked")
     data class EntryLinked(
         val entry: String,
         val replica: String,
         val fresh: Boolean,
+        val availabilityZone: String = "",
+        val relayAddress: String = "",
     ) : ControlOperation
 
     /** The entry's link to [replica] has been closed for longer than a reconnection takes. */
--- a/control/src/main/kotlin/hawthorncrank/control/ControlRecords.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/ControlRecords.kt
@@ -80,13 +80,15 @@
  * The state of an entry as the group knows it. [replica] is the replica that it is linked to: empty if no link has been
  * reported, and null after its link has been closed for longer than a reconnection takes. Claims below
  * [firstClaimNumber] were granted before its last restart, so no process works on them. [link] is the identifier of the
- * command that reported the link.
+ * command that reported the link. [relayAddress] is where it accepts requests from other entries, or empty.
  */
 @Serializable
 data class EntryPresence(
     @CborLabel(1) val replica: String?,
     @CborLabel(2) val firstClaimNumber: Long,
     @CborLabel(3) val link: String = "",
+    @CborLabel(4) val availabilityZone: String = "",
+    @CborLabel(5) val relayAddress: String = "",
 )
 
 /**
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -34,6 +34,7 @@
         is EntryToControl.SuspicionsRefuted -> handleRefutation(event.entry, message)
         is EntryToControl.ConfirmConfiguration -> handleConfirmationRequest(event.link, message)
         is EntryToControl.ListUpstreams -> handleListRequest(event.link, message)
+        EntryToControl.ListRelays -> sendRelays(event.link, event.entry)
         is EntryToControl.EngineDemand -> handleEngineDemand(event.link, message)
         is EntryToControl.EntryStatus -> updateStatus(event.link, message)
         is EntryToControl.UsageCounts -> handleUsageCounts(event.link, message)
@@ -69,6 +70,7 @@
             hello.availabilityZone,
             openedAt,
             heldVersion = hello.appliedVersion,
+            relayAddress = hello.relayAddress,
             reportedAt = now,
         )
     state =
@@ -78,7 +80,7 @@
         )
     if (isNew) {
         record(ControlEventCode.ENTRY_LINKED, "entry" to event.entry, "version" to hello.appliedVersion)
-        reportLinked(event.entry, fresh = hello.appliedVersion == 0L)
+        reportLinked(session, fresh = hello.appliedVersion == 0L)
     }
     sendConvictions(event.link)
     if (state.control.questionedSuspects().isNotEmpty()) sendSuspicions(event.link)
@@ -89,16 +91,25 @@
 }
 
 private fun ControlStep.reportLinked(
-    entry: String,
+    session: EntryLink,
     fresh: Boolean,
 ) {
-    if (!fresh && isReported(entry)) return
-    val operation = ControlOperation.EntryLinked(entry, state.replica.self.name, fresh)
+    if (!fresh && isReported(session)) return
+    val operation =
+        ControlOperation.EntryLinked(
+            session.entry,
+            state.replica.self.name,
+            fresh,
+            session.availabilityZone,
+            session.relayAddress,
+        )
     proposeOwn("linked/${freshIdentifier()}", operation)
 }
 
-private fun ControlStep.isReported(entry: String): Boolean =
-    state.control.entries[entry]?.replica == state.replica.self.name
+private fun ControlStep.isReported(session: EntryLink): Boolean {
+    val known = state.control.entries[session.entry] ?: return false
+    return known.replica == state.replica.self.name && known.relayAddress == session.relayAddress
+}
 
 /**
  * Reports linked entries again that the group does not know: a replica that is not admitted yet cannot report any. An
@@ -106,10 +117,10 @@
  */
 internal fun ControlStep.reportEntriesAgain() =
     state.entryLinks
-        .filterValues { now - it.reportedAt >= REPORT_AGAIN_MILLISECONDS && !isReported(it.entry) }
+        .filterValues { now - it.reportedAt >= REPORT_AGAIN_MILLISECONDS && !isReported(it) }
         .forEach { (link, session) ->
             state = state.copy(entryLinks = state.entryLinks.put(link, session.copy(reportedAt = now)))
-            reportLinked(session.entry, fresh = false)
+            reportLinked(session, fresh = false)
         }
 
 private fun ControlStep.handleSuspectReport(
--- a/control/src/main/kotlin/hawthorncrank/control/internal/FleetOperations.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/FleetOperations.kt
@@ -65,7 +65,14 @@
     val known = entries[operation.entry]
     if (known?.link == context.command.identifier) return this
     val first = if (operation.fresh) nextClaimNumber else known?.firstClaimNumber ?: 0
-    val presence = EntryPresence(operation.replica, first, context.command.identifier)
+    val presence =
+        EntryPresence(
+            operation.replica,
+            first,
+            context.command.identifier,
+            operation.availabilityZone,
+            operation.relayAddress,
+        )
     return copy(
         entries = entries.remove(operation.entry).put(operation.entry, presence).withoutOldestAbove(ENTRY_LIMIT),
     )
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -144,6 +144,7 @@
     val status: EntryToControl.EntryStatus? = null,
     val statusAt: Long = 0,
     val behindSince: Long? = null,
+    val relayAddress: String = "",
     val reportedAt: Long = openedAt,
 )
 
--- a/control/src/test/kotlin/hawthorncrank/control/internal/WaitingReplicaTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/WaitingReplicaTest.kt
@@ -61,7 +61,13 @@
         group.run(500)
         group.deliver(group.follower(), ControlEvent.Leave)
         group.run(10_000)
-        assertEquals("control-4", group.state(group.leader()).control.entries["entry-1"]?.replica)
+        assertEquals(
+            "control-4",
+            group
+                .state(group.leader())
+                .control.entries["entry-1"]
+                ?.replica,
+        )
     }
 
     @Test
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
@@ -5,7 +5,8 @@
  * body. [finishBy] is a time on the entry's clock and comes from the caller's deadline header or the class. [routeTier]
  * is the tier of the request's route, which the tier of its organisation may replace. [sharedParts] identify the parts of
  * the prompt that other requests may have too, in order. [configurationVersion] is the version of the configuration under
- * which the request was read, or null if the reading did not depend on one.
+ * which the request was read, or null if the reading did not depend on one. [relayed] is set if another entry sent it,
+ * which cannot reach upstreams; it is never relayed again.
  */
 data class CallerRequest(
     val number: Long,
@@ -21,6 +22,7 @@
     val routeTier: Int? = null,
     val sharedParts: List<String> = emptyList(),
     val configurationVersion: Long? = null,
+    val relayed: Boolean = false,
 )
 
 /**
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryEffect.kt
@@ -12,7 +12,8 @@
      * If bytes of another attempt have already reached the caller and [resume] is null, nothing is sent and the attempt
      * ends as [AttemptEnd.Cancelled]; an [AbortStream] follows. With a [claimNumber] the answer is withheld until
      * [ReleaseAnswer]. With [freshConnection] the request is sent only on a connection that is new or was used in the
-     * last 2 s, and with [newConnection] only on a new one.
+     * last 2 s, and with [newConnection] only on a new one. With [relayed], [upstream] is another entry, which gets the
+     * request as the caller sent it.
      */
     data class StartAttempt(
         val attemptNumber: Long,
@@ -26,6 +27,7 @@
         val resume: ResumePoint?,
         val freshConnection: Boolean = false,
         val newConnection: Boolean = false,
+        val relayed: Boolean = false,
     ) : EntryEffect
 
     /** Stop the attempt upstream and discard whatever it still sends. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -9,6 +9,7 @@
 import hawthorncrank.entry.core.internal.EngineDemandState
 import hawthorncrank.entry.core.internal.Explanations
 import hawthorncrank.entry.core.internal.MembershipState
+import hawthorncrank.entry.core.internal.RelayState
 import hawthorncrank.entry.core.internal.RequestsState
 import hawthorncrank.entry.core.internal.RetryBudget
 import hawthorncrank.entry.core.internal.StopState
@@ -41,6 +42,7 @@
     internal val confirmation: ConfirmationState = ConfirmationState(),
     internal val usage: UsageState = UsageState(),
     internal val engineDemand: EngineDemandState = EngineDemandState(),
+    internal val relays: RelayState = RelayState(),
     internal val reportedReady: Boolean = false,
     internal val statusSentAt: Long = 0,
     internal val measuredAt: Long = 0,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
@@ -58,6 +58,14 @@
         override val remedy = "send the request again; operators see the upstreams in the status report"
     }
 
+    /** Answers another entry that relayed a request to this one, so that it tries a third one. */
+    data object CannotRelay : Refusal {
+        override val status = 421
+        override val outcome = StatedOutcome.NOT_RUN
+        override val problem = "this entry cannot serve a relayed request now"
+        override val remedy = "send the request to another entry"
+    }
+
     data class NotPermitted(
         val className: String,
     ) : Refusal {
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.ResumePoint
 import hawthorncrank.entry.core.UpstreamTimeouts
+import hawthorncrank.protocol.Relay
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.routing.RoutedAttempt
 import hawthorncrank.scheduling.CapacityKind
@@ -15,7 +16,16 @@
     active: ActiveRequest,
     upstream: Upstream,
     priority: Int,
-) = start(active, upstream, priority, active.resume)
+) = start(active, AttemptDestination(upstream.name, upstream.address), priority, active.resume)
+
+/** Sends a request to another entry, which does not count as work on an upstream here. */
+internal fun Reduction.startRelayedAttempt(
+    active: ActiveRequest,
+    relay: Relay,
+) {
+    val destination = AttemptDestination(relay.entry, relay.address, relayed = true)
+    start(active, destination, workOf(active).tier, active.resume)
+}
 
 /** Resumes a broken stream. The scheduler still counts the request as running, but the router has removed it. */
 internal fun Reduction.resumeAttempt(
@@ -26,17 +36,24 @@
     val work = workOf(active)
     val routed = RoutedAttempt(active.number, upstream.name, work, work.tier, CapacityKind.SHARED)
     state = state.copy(router = state.router.attemptStarted(routed, now))
-    start(active, upstream, work.tier, resume)
+    start(active, AttemptDestination(upstream.name, upstream.address), work.tier, resume)
 }
 
+private class AttemptDestination(
+    val name: String,
+    val address: String,
+    val relayed: Boolean = false,
+)
+
 private fun Reduction.start(
     active: ActiveRequest,
-    upstream: Upstream,
+    destination: AttemptDestination,
     priority: Int,
     resume: ResumePoint?,
 ) {
     val request = active.request
-    countEngineDemand(active)
+    val relayed = destination.relayed
+    if (!relayed) countEngineDemand(active)
     val number = state.attempts.nextNumber
     val attempt =
         RunningAttempt(
@@ -44,12 +61,13 @@
             requestNumber = request.number,
             className = request.className,
             contentDigest = request.contentDigest,
-            upstream = upstream.name,
+            upstream = destination.name,
             startedAt = now,
             priority = priority,
             // A resumed stream is still the same run, so another break is not additional evidence of a crash.
-            suspect = resume == null && state.suspects.isSuspect(request.contentDigest, now),
-            billedTo = active.billedTo,
+            suspect = !relayed && resume == null && state.suspects.isSuspect(request.contentDigest, now),
+            billedTo = active.billedTo.takeUnless { relayed },
+            relayed = relayed,
         )
     state = state.copy(attempts = AttemptsState(state.attempts.running.put(number, attempt), number + 1))
     val started =
@@ -57,18 +75,18 @@
             phase = RequestPhase.Running(number),
             attempts = active.attempts + 1,
             startedAt = active.startedAt ?: now,
-            upstream = upstream.name,
-            addresses = active.addresses.add(upstream.address),
+            upstream = destination.name,
+            addresses = active.addresses.add(destination.address),
         )
     update(started)
-    recordStart(started, number, priority, resume)
-    explain(request.number, "was sent to ${upstream.name} as attempt $number with priority $priority")
+    if (!relayed) recordStart(started, number, priority, resume)
+    explain(request.number, "was sent to ${destination.name} as attempt $number with priority $priority")
     emit(
         EntryEffect.StartAttempt(
             attemptNumber = number,
             requestNumber = request.number,
-            upstream = upstream.name,
-            address = upstream.address,
+            upstream = destination.name,
+            address = destination.address,
             priority = priority,
             timeouts = upstreamTimeouts(request),
             deadlineMilliseconds = request.finishBy?.let { it - now },
@@ -76,7 +94,8 @@
             resume = resume,
             freshConnection = !request.isIdempotent,
             // All attempts carry the request's identifier, so only the connection tells their answers apart.
-            newConnection = upstream.address in active.addresses,
+            newConnection = destination.address in active.addresses,
+            relayed = relayed,
         ),
     )
 }
@@ -162,7 +181,7 @@
     state = state.copy(scheduler = state.scheduler.remove(active.number))
 }
 
-private const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
+internal const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
 private const val FIRST_BYTE_TIMEOUT_MILLISECONDS = 10_000L
 private const val BETWEEN_BYTES_TIMEOUT_MILLISECONDS = 10_000L
 private const val COMPLETE_ANSWER_TIMEOUT_MILLISECONDS = 600_000L
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -18,6 +18,8 @@
     accepted: Boolean = true,
 ) {
     val attempt = state.attempts.running[attemptNumber] ?: return
+    if (attempt.relayed) return relayBegan(attempt)
+    heardFromUpstream()
     if (accepted) usageBegan(attempt)
     updateAttempt(attempt.copy(firstByteAt = attempt.firstByteAt ?: now))
     if (failed) upstreamFailed(attempt)
@@ -36,6 +38,8 @@
     val attempt = state.attempts.running[attemptNumber] ?: return
     val next = attempt.copy(tokens = tokens, bytes = bytes, firstByteAt = attempt.firstByteAt ?: now)
     updateAttempt(next)
+    if (attempt.relayed) return
+    heardFromUpstream()
     val active = currentRequest(attempt) ?: return
     update(active.copy(firstByteAt = active.firstByteAt ?: now))
     updateProgress(next, active)
@@ -57,6 +61,7 @@
     end: AttemptEnd,
 ) {
     val attempt = state.attempts.running[attemptNumber] ?: return
+    if (attempt.relayed) return relayEnded(attempt, end)
     usageEnded(attempt, end)
     val active = currentRequest(attempt)
     state = state.copy(attempts = state.attempts.copy(running = state.attempts.running.remove(attemptNumber)))
@@ -130,7 +135,7 @@
     *fields,
 )
 
-private fun describe(end: AttemptEnd): String =
+internal fun describe(end: AttemptEnd): String =
     when (end) {
         is AttemptEnd.Completed -> "it answered with status ${end.status}"
         AttemptEnd.NotConnected -> "no connection could be opened"
@@ -150,10 +155,14 @@
 ) {
     val name = attempt.upstream
     when (end) {
-        AttemptEnd.NotConnected -> connectFailed(name)
+        AttemptEnd.NotConnected -> connectFailed(name, attempt.startedAt)
 
         is AttemptEnd.TimedOut ->
-            if (end.phase == TimeoutPhase.CONNECT) connectFailed(name) else exclude(name, "it timed out")
+            if (end.phase == TimeoutPhase.CONNECT) {
+                connectFailed(name, attempt.startedAt)
+            } else {
+                exclude(name, "it timed out")
+            }
 
         is AttemptEnd.Broken ->
             when {
@@ -165,11 +174,15 @@
             }
 
         is AttemptEnd.Completed -> {
+            heardFromUpstream()
             upstreamAnswered(name)
             if (attempt.suspect) clearSuspicion(attempt.contentDigest)
         }
 
-        is AttemptEnd.Rejected -> upstreamAnswered(name)
+        is AttemptEnd.Rejected -> {
+            heardFromUpstream()
+            upstreamAnswered(name)
+        }
 
         AttemptEnd.Misdirected -> addressTaken(name)
 
@@ -213,7 +226,11 @@
     state.requests.active[attempt.requestNumber]?.let { active ->
         recordAttempt(active, attempt, EntryDecisionEvent.ATTEMPT_CANCELLED, reason.name.lowercase())
     }
-    if (routed) state = state.copy(router = state.router.attemptEnded(attempt.requestNumber, attempt.bytes))
+    if (routed &&
+        !attempt.relayed
+    ) {
+        state = state.copy(router = state.router.attemptEnded(attempt.requestNumber, attempt.bytes))
+    }
     emit(EntryEffect.CancelAttempt(attemptNumber, reason))
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
@@ -15,7 +15,8 @@
 /**
  * [suspect] is set if the content was suspected of crashing engines when the attempt started; it then shares its engine
  * with no other suspect. [billedTo] is the organisation for which the request counts in usage reports, if any. A [cancelled]
- * attempt still counts as running on its upstream until its end is reported.
+ * attempt still counts as running on its upstream until its end is reported. The [upstream] of a [relayed] attempt is
+ * another entry, which counts the work on its upstreams.
  */
 internal data class RunningAttempt(
     val number: Long,
@@ -31,6 +32,7 @@
     val tokens: Int = 0,
     val bytes: Long = 0,
     val cancelled: Cancellation? = null,
+    val relayed: Boolean = false,
 )
 
 /** Request content and the upstream that it runs on or is about to run on. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
@@ -53,7 +53,14 @@
 
 internal fun Reduction.sendHello() {
     val version = state.configuration.version
-    emit(EntryEffect.SendToControl(EntryToControl.EntryHello(settings.name, settings.availabilityZone, version)))
+    val hello =
+        EntryToControl.EntryHello(
+            settings.name,
+            settings.availabilityZone,
+            version,
+            settings.relayAddress.orEmpty(),
+        )
+    emit(EntryEffect.SendToControl(hello))
 }
 
 private fun Reduction.logLowerVersion(version: Long) {
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/CrashEvidence.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/CrashEvidence.kt
@@ -55,8 +55,10 @@
     val lost = state.crashEvidence.unanswered[upstream] ?: return
     evidence { it.copy(unanswered = it.unanswered.remove(upstream)) }
     if (reachable) return
-    record(EntryDecisionEvent.UPSTREAM_CRASHED, "upstream" to upstream, "unanswered" to lost.size)
     connectFailed(upstream)
+    // Behind a partition, upstreams that run are unreachable too.
+    if (state.relays.suspected) return
+    record(EntryDecisionEvent.UPSTREAM_CRASHED, "upstream" to upstream, "unanswered" to lost.size)
     val crash = ObservedCrash(upstream, now, lost)
     evidence { it.copy(unsent = (it.unsent.add(crash)).takeLast(UNSENT_LIMIT).toPersistentList()) }
     sendCrashReports()
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -96,12 +96,16 @@
     membership { it.copy(drained = update.upstreams.toPersistentSet(), drainRevision = update.revision) }
 }
 
-internal fun Reduction.connectFailed(name: String) {
+/** No connection to the upstream could be opened since [startedAt]. */
+internal fun Reduction.connectFailed(
+    name: String,
+    startedAt: Long = now,
+) {
     val observation = state.membership.observed[name] ?: Observation()
     val failures = observation.connectFailures + 1
     observe(name, observation.copy(connectFailures = failures))
-    if (failures < settings.behaviour.connectFailuresToExclude) return
-    exclude(name, "$failures consecutive connect failures")
+    if (failures >= settings.behaviour.connectFailuresToExclude) exclude(name, "$failures consecutive connect failures")
+    suspectPartition(startedAt)
 }
 
 /** A single lost answer may be a connection fault. Several in a row without a complete answer are an upstream fault. */
@@ -155,10 +159,11 @@
 internal fun Reduction.exclude(
     name: String,
     reason: String,
+    firstProbe: Long = FIRST_PROBE_MILLISECONDS,
 ) {
     val observation = state.membership.observed[name] ?: Observation()
     if (observation.excluded != null) return
-    val exclusion = Exclusion(reason, FIRST_PROBE_MILLISECONDS, now + FIRST_PROBE_MILLISECONDS)
+    val exclusion = Exclusion(reason, FIRST_PROBE_MILLISECONDS, now + firstProbe)
     observe(name, observation.copy(excluded = exclusion))
     record(EntryDecisionEvent.UPSTREAM_EXCLUDED, "upstream" to name, "reason" to reason)
 }
@@ -170,6 +175,7 @@
     val observation = state.membership.observed[name] ?: return
     val exclusion = observation.excluded ?: return
     if (reachable) {
+        heardFromUpstream()
         forgetFailures(name, observation)
         return record(EntryDecisionEvent.UPSTREAM_RETURNED, "upstream" to name)
     }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
@@ -23,6 +23,7 @@
 internal fun Reduction.enqueue(active: ActiveRequest) {
     val waiting = active.copy(phase = RequestPhase.Queued)
     update(waiting)
+    if (relayIfCutOff(waiting)) return
     if (state.scheduler.view.inFlightOf(active.number) != null) {
         state = state.copy(scheduler = state.scheduler.requeue(active.number, now))
         return
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Requests.kt
@@ -62,7 +62,12 @@
     if (active.number !in state.requests.active) return
     if (active.answerBegan && active.request.retryPolicy != null) return breakStream(active, refusal.problem)
     if (active.waiting) giveUpClaim(active)
-    val stated = if (active.mayHaveRun && rules.refusalsReportPossibleRuns) refusal.withUnknownOutcome() else refusal
+    val stated =
+        when {
+            active.mayHaveRun && rules.refusalsReportPossibleRuns -> refusal.withUnknownOutcome()
+            active.request.relayed && concernsOnlyThisEntry(refusal) -> Refusal.CannotRelay
+            else -> refusal
+        }
     explain(active.number, "was refused with status ${stated.status}: ${stated.problem}")
     val explained = active.copy(reason = stated.problem)
     if (!active.callerLeft) emit(EntryEffect.RefuseCaller(active.number, stated))
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
@@ -19,7 +19,7 @@
  * where the next attempt resumes the stream. [unreached] counts attempts that did not reach their upstream, and
  * [unreachedTime] the milliseconds that they took. [lastUpstream] is
  * the one that failed last, and [upstream] the one to which the request was sent last. [addresses] are those to which it
- * was sent so far.
+ * was sent so far. [relaysRefused] counts entries that could not relay the request.
  */
 internal data class ActiveRequest(
     val request: CallerRequest,
@@ -40,6 +40,7 @@
     val unreached: Int = 0,
     val unreachedTime: Long = 0,
     val reason: String? = null,
+    val relaysRefused: Int = 0,
 ) {
     val number: Long
         get() = request.number
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -21,6 +21,7 @@
     listFromControl: Boolean = false,
     warmUp: Boolean = false,
     scaling: EngineScaling? = null,
+    relayAddress: String? = null,
 ) {
     private val settings =
         EntrySettings(
@@ -42,6 +43,7 @@
                     scheduling = SchedulingPolicy(preemption = false, floor = false),
                     routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
                 ),
+            relayAddress = relayAddress,
         )
     private val reducer = entryReducer(settings)
     private var state = initialEntryState(settings)
@@ -104,9 +106,10 @@
         sharedParts: List<String> = emptyList(),
         promptTokens: Int = 20,
         className: String = "quick",
+        relayed: Boolean = false,
     ): List<EntryEffect> {
         val target = RequestTarget.Model("model", promptTokens, 20, emptyList())
-        return arrive(number, target, policy, streamed = true, finishBy, sharedParts, className)
+        return arrive(number, target, policy, streamed = true, finishBy, sharedParts, className, relayed)
     }
 
     private fun arrive(
@@ -117,6 +120,7 @@
         finishBy: Long?,
         sharedParts: List<String> = emptyList(),
         className: String = "quick",
+        relayed: Boolean = false,
     ): List<EntryEffect> {
         val request =
             CallerRequest(
@@ -131,6 +135,7 @@
                 identifier = "attempt-$number",
                 retryPolicy = policy,
                 sharedParts = sharedParts,
+                relayed = relayed,
             )
         return send(EntryEvent.RequestArrived(request))
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
@@ -49,6 +49,7 @@
             randomSeed = SecureRandom().nextLong(),
             regions = settings.zones.associate { it.name to it.region },
             behaviour = behaviour(settings, routed != null),
+            relayAddress = settings.relayAddress.takeIf { routed != null },
         )
     val process =
         EntryProcess(
--- a/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
@@ -45,6 +45,9 @@
     @SerialName("stop_time")
     val stopTime: Milliseconds? = null,
     val heartbeat: Milliseconds? = null,
+    /** Where requests of other entries arrive, whose VMs cannot reach upstreams. Without it, none are relayed. */
+    @SerialName("relay_address")
+    val relayAddress: String? = null,
     /** Whether upstreams that started or recovered get a bounded number of requests until they answer as fast as others. */
     @SerialName("warm_up")
     val warmUp: Boolean = false,
@@ -81,6 +84,7 @@
             listOfNotNull(
                 platformAddress?.let { "platform_address" to it },
                 metricsAddress?.let { "metrics_address" to it },
+                relayAddress?.let { "relay_address" to it },
             )
     val malformed = addresses.firstOrNull { (_, address) -> !ADDRESS.matches(address) }
     return when {
--- a/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
@@ -10,6 +10,7 @@
  * entry decides what follows from their results. [announcesLeaving] tells whether an upstream says in its answer that it
  * leaves. [strippedHeaders], in lower case, are never forwarded from a caller to
  * an upstream. [refusalStatus] gives the HTTP status of a refusal that has the given status in the product's own API.
+ * [writeRelayHeaders] gives the headers of a caller that change when its request is sent to another entry.
  */
 class ExchangeProtocol(
     val readCallerHeaders: (HttpHeaders) -> CallerHeaders,
@@ -18,6 +19,7 @@
     val announcesLeaving: (HttpHeaders) -> Boolean,
     val strippedHeaders: Set<String>,
     val refusalStatus: (status: Int, outcome: StatedOutcome) -> Int,
+    val writeRelayHeaders: (timeLeftMilliseconds: Long?, lastEventIdentifier: String?) -> List<Pair<String, String>>,
     val formatRetryAfter: (milliseconds: Long) -> String,
 )
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Attempt.kt
@@ -145,9 +145,9 @@
     private fun begin(arrived: UpstreamSignal.Head) {
         head = arrived
         parseLoad(arrived.headers.get(LOAD_HEADER))?.let { report(EntryEvent.LoadReported(effect.upstream, it)) }
-        val reply = owner.classifyReply(arrived)
+        val reply = owner.classifyReply(this, arrived)
         val answeredByUpstream = reply != UpstreamReply.Misdirected && reply != UpstreamReply.Mismatched
-        if (answeredByUpstream && owner.announcesLeaving(arrived)) {
+        if (answeredByUpstream && owner.announcesLeaving(this, arrived)) {
             report(EntryEvent.UpstreamAnnouncedLeaving(effect.upstream, effect.address))
         }
         when (reply) {
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -47,22 +47,39 @@
     fun handle(
         request: HttpServerRequest,
         response: HttpServerResponse,
+    ): Publisher<Void> = handle(request, response, relayed = false)
+
+    /** Serves a request that another entry sent because it cannot reach upstreams. */
+    fun handleRelayed(
+        request: HttpServerRequest,
+        response: HttpServerResponse,
+    ): Publisher<Void> = handle(request, response, relayed = true)
+
+    private fun handle(
+        request: HttpServerRequest,
+        response: HttpServerResponse,
+        relayed: Boolean,
     ): Publisher<Void> {
         open.incrementAndGet()
-        return Flux.defer { accept(request, response) }.doFinally { open.decrementAndGet() }
+        return Flux.defer { accept(request, response, relayed) }.doFinally { open.decrementAndGet() }
     }
 
     private fun accept(
         request: HttpServerRequest,
         response: HttpServerResponse,
+        relayed: Boolean,
     ): Publisher<Void> {
-        val current = view() ?: return write(response, rejected(request, Rejection.NotReady))
+        val reject = { rejection: Rejection -> rejected(request, forRelay(confirmed(rejection), relayed)) }
+        val current = view() ?: return write(response, reject(Rejection.NotReady))
         var connection: Connection? = null
         request.withConnection { connection = it }
         return callers.admit(request, current).flatMapMany { result ->
             result.fold(
-                success = { receive(request, response, Admission(current, it), checkNotNull(connection)) },
-                failure = { write(response, rejected(request, confirmed(it))) },
+                success = {
+                    val reading = RequestReading(request, Admission(current, it), relayed, callers, view, reject)
+                    receive(request, response, reading, checkNotNull(connection))
+                },
+                failure = { write(response, reject(it)) },
             )
         }
     }
@@ -71,33 +88,37 @@
     private fun confirmed(rejection: Rejection): Rejection =
         if (rejectionsAreFinal()) rejection else Rejection.UnconfirmedConfiguration
 
+    /** An entry that is not ready may not be the only one: the entry that relayed the request tries another. */
+    private fun forRelay(
+        rejection: Rejection,
+        relayed: Boolean,
+    ): Rejection = if (relayed && rejection.status == HTTP_UNAVAILABLE) Rejection.CannotRelay else rejection
+
     private fun receive(
         request: HttpServerRequest,
         response: HttpServerResponse,
-        admission: Admission,
+        reading: RequestReading,
         connection: Connection,
     ): Publisher<Void> =
         body(request).flatMapMany { result ->
             result.fold(
-                success = { bytes -> exchange(request, response, bytes, admission, connection) },
+                success = { bytes -> exchange(reading, bytes, response, connection) },
                 failure = { write(response, rejected(request, it)) },
             )
         }
 
     private fun exchange(
-        request: HttpServerRequest,
-        response: HttpServerResponse,
+        reading: RequestReading,
         body: ByteArray,
-        admission: Admission,
+        response: HttpServerResponse,
         connection: Connection,
     ): Publisher<Void> {
         val number = numbers.getAndIncrement()
         response.header(REQUEST_HEADER, "$entryName-$number")
-        val reading =
-            RequestReading(request, number, body, now(), admission, callers, view) { rejected(request, confirmed(it)) }
-        return reading.read().flatMapMany { result ->
+        val complete = CompleteBody(number, body, now())
+        return reading.read(complete).flatMapMany { result ->
             result.fold(
-                success = { parsed -> run(parsed, reading, response, connection) },
+                success = { parsed -> run(parsed, { reading.read(complete) }, response, connection) },
                 failure = { write(response, it) },
             )
         }
@@ -105,21 +126,12 @@
 
     private fun run(
         parsed: ParsedRequest,
-        reading: RequestReading,
+        read: () -> Mono<Result<ParsedRequest, CallerAnswer.Complete>>,
         response: HttpServerResponse,
         connection: Connection,
     ): Publisher<Void> {
         val loop = connection.channel().eventLoop()
-        val exchange =
-            Exchange(
-                parsed.callerRequest.number,
-                parsed.outgoing,
-                reading::read,
-                loop,
-                activeExchanges,
-                log,
-                connection::dispose,
-            )
+        val exchange = Exchange(parsed, read, loop, activeExchanges, log, connection::dispose)
         activeExchanges.register(exchange)
         activeExchanges.report(EntryEvent.RequestArrived(parsed.callerRequest))
         return exchange.answer
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/EntryProcess.kt
@@ -95,12 +95,17 @@
     override val operationsPort: Int get() = servers[OPERATIONS].port()
     val linkPort: Int get() = links.port
 
+    /** The port for requests of other entries, or null if this entry relays none. */
+    var relayPort: Int? = null
+        private set
+
     /** Opens every port and link, or none. */
     fun open(file: String): Result<EntryProcess<State>, SettingsFailure> =
         check(file)
             .andThen { openHttp(file) }
             .andThen { openOperations(file) }
             .andThen { openMetrics(file) }
+            .andThen { openRelays(file) }
             .andThen { links.listen().mapError { listenFailure(file, it) } }
             .andThen { links.connect().mapError { connectFailure(file, it) } }
             .map {
@@ -205,6 +210,17 @@
             .map { servers += it }
     }
 
+    /** Serves callers of other entries. Their connections end with those of this entry's own callers. */
+    private fun openRelays(file: String): Result<Unit, SettingsFailure> {
+        val address = settings.relayAddress?.takeIf { routed != null } ?: return Ok(Unit)
+        val handle = callers::handleRelayed
+        return openPort(file, "relay_address", address, limits.port, tls = null, connections, handle)
+            .map {
+                servers += it
+                relayPort = it.port()
+            }
+    }
+
     private fun listenFailure(
         file: String,
         failure: LinkFailure,
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Exchange.kt
@@ -23,14 +23,15 @@
  * [closeConnection] closes the caller's connection. [read] reads the request under the configuration in force.
  */
 internal class Exchange(
-    val number: Long,
-    private var request: OutgoingRequest,
+    private var parsed: ParsedRequest,
     private val read: () -> Mono<Result<ParsedRequest, CallerAnswer.Complete>>,
     private val loop: EventLoop,
     private val activeExchanges: ActiveExchanges,
     private val log: EventLog,
     private val closeConnection: () -> Unit,
 ) {
+    val number: Long = parsed.callerRequest.number
+    private val request: OutgoingRequest get() = parsed.outgoing
     private val answered = Sinks.one<CallerAnswer>()
     private var current: Attempt? = null
     private var heldAnswer: CallerAnswer.Complete? = null
@@ -82,7 +83,7 @@
 
     private fun arrivedAgain(parsed: ParsedRequest) {
         if (callerGone) return
-        request = parsed.outgoing
+        this.parsed = parsed
         activeExchanges.report(EntryEvent.RequestArrived(parsed.callerRequest))
     }
 
@@ -159,7 +160,7 @@
         // The stream was to be resumed, but the upstream sent an answer that is not a stream.
         if (relay != null) return attempt.end(AttemptEnd.Broken(0, 0))
         val waits =
-            when (request.format.release) {
+            when (sentBy(attempt).format.release) {
                 AnswerRelease.AT_ONCE -> false
                 AnswerRelease.WHEN_RECORDED -> !request.idempotent
                 AnswerRelease.FAILURES_WHEN_DECIDED -> received.status >= HTTP_SERVER_ERROR
@@ -181,10 +182,19 @@
     /** Whether the caller already has the events before the ones that [attempt] asks for. */
     fun resumes(attempt: Attempt): Boolean = request.resumesAfter != null || attempt.effect.resume != null
 
-    fun classifyReply(head: UpstreamSignal.Head): UpstreamReply =
-        request.format.classifyReply(head.status, head.headers)
+    fun classifyReply(
+        attempt: Attempt,
+        head: UpstreamSignal.Head,
+    ): UpstreamReply = sentBy(attempt).format.classifyReply(head.status, head.headers)
+
+    fun announcesLeaving(
+        attempt: Attempt,
+        head: UpstreamSignal.Head,
+    ): Boolean = sentBy(attempt).format.announcesLeaving(head.headers)
 
-    fun announcesLeaving(head: UpstreamSignal.Head): Boolean = request.format.announcesLeaving(head.headers)
+    /** The form of the request that the attempt sends. */
+    private fun sentBy(attempt: Attempt): OutgoingRequest =
+        if (attempt.effect.relayed) checkNotNull(parsed.relayed) else parsed.outgoing
 
     fun attemptFailed(
         attempt: Attempt,
@@ -252,9 +262,10 @@
             existing?.let { end(it, "the stream cannot be resumed") }
             return attempt.end(AttemptEnd.NotConnected)
         }
-        val body = request.body(attempt.effect.priority, resume)
+        val sent = sentBy(attempt)
+        val body = sent.body(attempt.effect.priority, resume)
         activeExchanges.client
-            .exchange(attempt.effect, request, AttemptContent(body, lastEventIdentifier), attempt.gate)
+            .exchange(attempt.effect, sent, AttemptContent(body, lastEventIdentifier), attempt.gate)
             .publishOn(Schedulers.fromExecutor(loop), PREFETCHED_SIGNALS)
             .subscribe(attempt)
     }
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
@@ -87,6 +87,12 @@
         retryAfterMilliseconds = 1_000,
     )
 
+    data object CannotRelay : Rejection(
+        421,
+        "this entry cannot serve a relayed request now",
+        "send the request to another entry",
+    )
+
     data object ConfigurationChanging : Rejection(
         503,
         "the configuration changed several times while the request waited to be processed",
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
@@ -15,7 +15,10 @@
 import io.netty.handler.codec.http.HttpMethod
 import java.security.MessageDigest
 
-/** A request as received, from an admitted caller. Its body was complete at [receivedAt] on the entry's clock. */
+/**
+ * A request as received, from an admitted caller. Its body was complete at [receivedAt] on the entry's clock. [relayed] is
+ * set if another entry sent it.
+ */
 internal class ReceivedRequest(
     val method: HttpMethod,
     val uri: String,
@@ -23,14 +26,19 @@
     val body: ByteArray,
     val organisation: Organisation,
     val receivedAt: Long,
+    val relayed: Boolean = false,
 ) {
     val path: String get() = uri.substringBefore('?')
 }
 
-/** A request in two forms: for the control thread's decisions, and for sending to upstreams. */
+/**
+ * A request in its forms: for the control thread's decisions, for sending to upstreams, and for sending to another entry,
+ * if the API allows that.
+ */
 internal class ParsedRequest(
     val callerRequest: CallerRequest,
     val outgoing: OutgoingRequest,
+    val relayed: OutgoingRequest? = null,
 )
 
 /** Validates a received request of the product's own API and converts it for the control thread. */
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReading.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReading.kt
@@ -14,6 +14,13 @@
     val caller: AdmittedCaller,
 )
 
+/** The body of the request that this entry gave [number], complete at [receivedAt] on the entry's clock. */
+internal class CompleteBody(
+    val number: Long,
+    val bytes: ByteArray,
+    val receivedAt: Long,
+)
+
 /**
  * Reads one request whose body is complete, each time under the configuration in force. The configuration may have
  * changed since the request's head arrived, and may change again until the control thread decides on the request, so
@@ -21,22 +28,20 @@
  */
 internal class RequestReading(
     private val request: HttpServerRequest,
-    private val number: Long,
-    private val body: ByteArray,
-    private val receivedAt: Long,
     private var admission: Admission,
+    private val relayed: Boolean,
     private val callers: CallerInterface,
     private val view: () -> ConfigurationView?,
     private val reject: (Rejection) -> CallerAnswer.Complete,
 ) {
     private var readings = 0
 
-    fun read(): Mono<Result<ParsedRequest, CallerAnswer.Complete>> {
+    fun read(body: CompleteBody): Mono<Result<ParsedRequest, CallerAnswer.Complete>> {
         val current = view() ?: return Mono.fromCallable { Err(reject(Rejection.NotReady)) }
         if (++readings > READINGS_LIMIT) return Mono.fromCallable { Err(reject(Rejection.ConfigurationChanging)) }
         return admit(current).publishOn(callers.readOn).map { result ->
             result.fold(
-                success = { caller -> caller.read(received(caller), number) },
+                success = { caller -> caller.read(received(caller, body), body.number) },
                 failure = { Err(reject(it)) },
             )
         }
@@ -49,15 +54,18 @@
         }
     }
 
-    private fun received(caller: AdmittedCaller) =
-        ReceivedRequest(
-            request.method(),
-            request.uri(),
-            request.requestHeaders(),
-            body,
-            caller.organisation,
-            receivedAt,
-        )
+    private fun received(
+        caller: AdmittedCaller,
+        body: CompleteBody,
+    ) = ReceivedRequest(
+        request.method(),
+        request.uri(),
+        request.requestHeaders(),
+        body.bytes,
+        caller.organisation,
+        body.receivedAt,
+        relayed,
+    )
 
     private companion object {
         // Bounds the work for a request that waits for the control thread longer than changes lie apart.
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.entry.ExchangeProtocol
 import hawthorncrank.entry.PromptPart
 import hawthorncrank.entry.UpstreamCall
+import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.CallerRequest
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.RetryPolicy
@@ -25,7 +26,7 @@
     fun read(
         received: ReceivedRequest,
         number: Long,
-    ): ParsedRequest = ParsedRequest(callerRequest(received, number), outgoing(received))
+    ): ParsedRequest = ParsedRequest(callerRequest(received, number), outgoing(received), relayed(received))
 
     private fun callerRequest(
         received: ReceivedRequest,
@@ -50,6 +51,7 @@
             // The last part is specific to this request and not shared.
             sharedParts = caller.promptParts.dropLast(1).map { it.identifier.toULong().toString(HEXADECIMAL) },
             configurationVersion = view.version,
+            relayed = received.relayed,
         )
     }
 
@@ -111,6 +113,43 @@
         )
     }
 
+    /** The request as the caller sent it, including its key, for an entry that decides on it in place of this one. */
+    private fun relayed(received: ReceivedRequest) =
+        OutgoingRequest(
+            method = received.method,
+            uri = received.uri,
+            headers = outgoingHeaders(received.headers) + ("Host" to received.headers.get(HttpHeaderNames.HOST)),
+            idempotent = idempotent,
+            streamed = route.streamed,
+            format = relayFormat(),
+            resumesAfter = caller.lastEventIdentifier,
+            body = { _, _ -> received.body },
+        )
+
+    private fun relayFormat(): ExchangeFormat =
+        ExchangeFormat(
+            attemptHeaders = { attempt, lastEventIdentifier ->
+                protocol.writeRelayHeaders(
+                    attempt.deadlineMilliseconds,
+                    lastEventIdentifier ?: caller.lastEventIdentifier,
+                )
+            },
+            classifyReply = { status, _ ->
+                if (status ==
+                    MISDIRECTED
+                ) {
+                    UpstreamReply.Misdirected
+                } else {
+                    UpstreamReply.Accepted
+                }
+            },
+            announcesLeaving = { false },
+            framing = StreamFraming.NumberedEvents,
+            streamHeaders = ::forwardedHeaders,
+            errorEvent = null,
+            release = AnswerRelease.AT_ONCE,
+        )
+
     private fun exchangeFormat(organisation: String?): ExchangeFormat =
         ExchangeFormat(
             attemptHeaders = { attempt, lastEventIdentifier ->
@@ -135,6 +174,7 @@
 
     private companion object {
         const val HEXADECIMAL = 16
+        const val MISDIRECTED = 421
         const val MAXIMUM_PROMPT_TOKENS = 10_000_000
 
         // Any odd factor keeps different chains distinct; the bits of this one are well distributed.
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/LateSendingTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/LateSendingTest.kt
@@ -3,7 +3,9 @@
 import hawthorncrank.common.MillisecondClock
 import hawthorncrank.common.systemClock
 import hawthorncrank.entry.core.AttemptEnd
+import hawthorncrank.entry.core.CallerRequest
 import hawthorncrank.entry.core.EntryEffect
+import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.UpstreamTimeouts
 import hawthorncrank.protocol.Repetition
 import io.netty.channel.DefaultEventLoop
@@ -57,7 +59,7 @@
         val loop = DefaultEventLoop()
         val exchanges = ActiveExchanges(client(delay = 0), clock::now) {}
         val exchange =
-            Exchange(1, OUTGOING, { error("nothing is read again") }, loop, exchanges, EntryFixture.SILENT) {}
+            Exchange(PARSED, { error("nothing is read again") }, loop, exchanges, EntryFixture.SILENT) {}
         loop.execute {
             exchange.start(START)
             exchange.callerLeft()
@@ -96,6 +98,18 @@
                 false,
                 nativeExchangeFormat(),
             ) { _, _ -> ByteArray(0) }
+        val CALLER_REQUEST =
+            CallerRequest(
+                number = 1,
+                organisation = "crew",
+                className = "quick",
+                target = RequestTarget.Service("service", idempotent = true, idempotencyKey = null),
+                contentDigest = "",
+                bodyBytes = 0,
+                streamed = false,
+                finishBy = null,
+            )
+        val PARSED = ParsedRequest(CALLER_REQUEST, OUTGOING)
         val START =
             EntryEffect.StartAttempt(
                 attemptNumber = 1,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -41,7 +41,7 @@
     const val NOT_RUN_HEADER = "test-not-run"
     const val LEAVING_HEADER = "test-leaving"
     private const val SERVICE_LEVEL = "level"
-    private val settings =
+    val settings =
         EntrySettings(
             "a",
             "zone",
@@ -87,6 +87,12 @@
             announcesLeaving = { headers -> headers.contains(LEAVING_HEADER) },
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
+            writeRelayHeaders = { timeLeft, lastEvent ->
+                listOfNotNull(
+                    timeLeft?.let { "test-time" to it.toString() },
+                    lastEvent?.let { LAST_EVENT_HEADER to it },
+                )
+            },
             formatRetryAfter = { "1" },
         )
 
@@ -99,10 +105,11 @@
         clock: MillisecondClock = systemClock(),
         client: UpstreamClient = upstreamClient(),
         reducer: Reducer<EntryState, EntryEvent, EntryEffect> = this.reducer,
+        relayAddress: String? = null,
     ): EntryProcess<EntryState> {
         val process =
             EntryProcess(
-                EntryFixture.settings(),
+                EntryFixture.settings().copy(relayAddress = relayAddress),
                 clock,
                 EntryFixture.SILENT,
                 reducer,
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/UnconfirmedConfigurationRejectionTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/UnconfirmedConfigurationRejectionTest.kt
@@ -25,6 +25,7 @@
             announcesLeaving = { false },
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
+            writeRelayHeaders = { _, _ -> emptyList() },
             formatRetryAfter = { "1" },
         )
 
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -71,6 +71,12 @@
         val upstreams: List<ListedUpstream>? = null,
     ) : ControlToEntry
 
+    /** Answers [EntryToControl.ListRelays] with some other entries of each availability zone. */
+    @Serializable
+    data class RelayList(
+        val relays: List<Relay>,
+    ) : ControlToEntry
+
     /** All convictions in force; replaces those that the entry received from control before. */
     @Serializable
     data class ConvictionUpdate(
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -5,14 +5,22 @@
 /** Messages from an entry to the control replica that it is linked to. */
 @Serializable
 sealed interface EntryToControl : WireMessage {
-    /** The first message on the link. [appliedVersion] is 0 for an entry that has no configuration. */
+    /**
+     * The first message on the link. [appliedVersion] is 0 for an entry that has no configuration. [relayAddress] is where
+     * the entry accepts requests from other entries, or empty.
+     */
     @Serializable
     data class EntryHello(
         val entry: String,
         val availabilityZone: String,
         val appliedVersion: Long,
+        val relayAddress: String = "",
     ) : EntryToControl
 
+    /** Asks for entries that may relay requests, because this entry cannot reach upstreams. */
+    @Serializable
+    data object ListRelays : EntryToControl
+
     /**
      * Requests the claim on [key]. [attemptIdentifier] is unique for each attempt; a repeated request with the same one
      * gets the same answer.
