Tell callers again that an entry has no configuration yet

Only a final rejection may be wrong under an outdated configuration.

The test of a relayed stream waits until both entries are ready, and checks that the stream ends properly.

--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/CallerServer.kt
@@ -86,7 +86,11 @@
 
     // An outdated configuration may lack a route or a key that the newest configuration has.
     private fun confirmed(rejection: Rejection): Rejection =
-        if (rejectionsAreFinal()) rejection else Rejection.UnconfirmedConfiguration
+        if (rejection.status == HTTP_UNAVAILABLE || rejectionsAreFinal()) {
+            rejection
+        } else {
+            Rejection.UnconfirmedConfiguration
+        }
 
     /** An entry that is not ready may not be the only one: the entry that relayed the request tries another. */
     private fun forRelay(
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RelayedRequestTest.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RelayedRequestTest.kt
@@ -6,9 +6,11 @@
 import hawthorncrank.entry.internal.RoutedEntryFixture.route
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.Relay
+import reactor.core.publisher.Flux
 import java.net.ServerSocket
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /** Guards against an entry that serves its callers badly although another entry reaches the engines. */
@@ -29,18 +31,12 @@
 
     @Test
     fun `a stream is cut off although another entry reaches the engine`() {
-        val events = (1..40).joinToString("") { "id: $it\ndata: event $it\n\n" } + "event: done\ndata: \n\n"
-        val engine =
-            FakeUpstream { _, response, _ ->
-                response.header(CONTENT_TYPE, "text/event-stream").sendString(
-                    reactor.core.publisher.Mono
-                        .just(events),
-                )
-            }
-        engine.use {
+        val events = (1..40).joinToString("") { "id: $it\ndata: event $it\n\n" }
+        FakeUpstream.streaming(Flux.just(events)).use { engine ->
             withTwoEntries(engine.port) { stranded, _ ->
                 val answer = StreamCaller.receive(stranded.httpPort, "1.1")
                 assertTrue("data: event 40" in answer.text, answer.text)
+                assertFalse(answer.reset)
             }
         }
     }
@@ -61,6 +57,7 @@
     ) = entry(enginePort).use { relaying ->
         entry(closedPort()).use { stranded ->
             val relay = Relay("near", "zone", "127.0.0.1:${relaying.relayPort}")
+            listOf(relaying, stranded).forEach(::awaitReady)
             stranded.send(EntryEvent.ControlMessageReceived(ControlToEntry.RelayList(listOf(relay))))
             check(stranded, checkNotNull(relaying.relayPort))
         }
@@ -74,6 +71,10 @@
             relayAddress = RELAY_ADDRESS,
         )
 
+    private fun awaitReady(entry: EntryProcess<EntryState>) {
+        while (exchange(entry.operationsPort, "GET", "/readyz").status != HTTP_OK) Thread.onSpinWait()
+    }
+
     private fun closedPort(): Int = ServerSocket(0).use { it.localPort }
 
     private companion object {
