Let a stream go on only at the software version that began it

Cause: the version of an upstream's software was not part of what is known when a stream goes on, and the caller's word for the attempt that began the stream was not read. An entry that did not begin the stream could not know its version.

Change: the platform's list gives each upstream's version. A stream that goes on is placed only at upstreams of the version that began it. The entry that began it tells control, whose replicas keep it in memory for a minute or two, so that any entry can ask, also after entries were killed. If the version is unknown and several may have begun the stream, or no upstream has it any more, the caller is told that the request did not run.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEffect.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.control.FencingNumber
 import hawthorncrank.protocol.EngineOrder
 import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.StreamNotice
 import hawthorncrank.protocol.WireMessage
 
 /** Side effects of a reduction, which the process carries out in order. */
@@ -25,6 +26,11 @@
         val envelope: ReplicaEnvelope,
     ) : ControlEffect
 
+    data class NotifyReplica(
+        val replica: String,
+        val notice: StreamNotice,
+    ) : ControlEffect
+
     data class SendToLink(
         val link: Long,
         val message: WireMessage,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlEvent.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.OperatorCommand
+import hawthorncrank.protocol.StreamNotice
 
 /**
  * The events that the reducer of a control process handles. The process numbers its links and never reuses a number.
@@ -15,6 +16,10 @@
         val event: ReplicaEvent,
     ) : ControlEvent
 
+    data class StreamNoticed(
+        val notice: StreamNotice,
+    ) : ControlEvent
+
     data class EntryMessage(
         val link: Long,
         val entry: String,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlLinks.kt
@@ -21,6 +21,7 @@
 import hawthorncrank.protocol.OperatorRequest
 import hawthorncrank.protocol.OperatorResponse
 import hawthorncrank.protocol.ReplicaEnvelope
+import hawthorncrank.protocol.StreamNotice
 import hawthorncrank.protocol.WireMessage
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
@@ -69,11 +70,11 @@
 
     fun sendToReplica(
         name: String,
-        envelope: ReplicaEnvelope,
+        message: WireMessage,
     ) {
         val link = toReplicas[name]
         if (link != null) {
-            link.send(envelope)
+            link.send(message)
         } else if (settings.discoversReplicas) {
             // Discovered replicas have their address as name. This message is lost; a later one repeats it once the
             // link is open.
@@ -132,6 +133,8 @@
             when {
                 message is ReplicaEnvelope && link.peerRole == LinkRole.REPLICA ->
                     send(ControlEvent.Replica(ReplicaEvent.EnvelopeReceived(message)))
+                message is StreamNotice && link.peerRole == LinkRole.REPLICA ->
+                    send(ControlEvent.StreamNoticed(message))
                 message is EntryToControl && link.peerRole == LinkRole.ENTRY ->
                     send(ControlEvent.EntryMessage(number, link.peerName, message))
                 message is OperatorRequest && link.peerRole == LinkRole.OPERATOR ->
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlProcess.kt
@@ -141,6 +141,7 @@
         when (effect) {
             is ControlEffect.Persist, is ControlEffect.EncodeSnapshot -> storageThread.submit(effect)
             is ControlEffect.SendToReplica -> links.sendToReplica(effect.replica, effect.envelope)
+            is ControlEffect.NotifyReplica -> links.sendToReplica(effect.replica, effect.notice)
             is ControlEffect.SendToLink ->
                 if (effect.link == LocalOperators.LINK) {
                     localOperators.deliverAnswer(effect.message)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlStep.kt
@@ -98,6 +98,7 @@
     when (event) {
         is ControlEvent.Replica -> queueReplicaEvent(event.event)
         is ControlEvent.EntryMessage -> entryMessage(event)
+        is ControlEvent.StreamNoticed -> noteStream(event.notice.stream, event.notice.software)
         is ControlEvent.OperatorMessage -> operatorMessage(event)
         is ControlEvent.LinkClosed -> linkClosed(event.link)
         is ControlEvent.OrderAnswered -> orderAnswered(event)
--- a/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/EntrySessions.kt
@@ -34,6 +34,8 @@
         is EntryToControl.SuspicionsRefuted -> handleRefutation(event.entry, message)
         is EntryToControl.ConfirmConfiguration -> handleConfirmationRequest(event.link, message)
         is EntryToControl.ListUpstreams -> handleListRequest(event.link, message)
+        is EntryToControl.StreamBegan -> streamBegan(message)
+        is EntryToControl.FindStream -> findStream(event.link, message)
         EntryToControl.ListRelays -> sendRelays(event.link, event.entry)
         is EntryToControl.EngineDemand -> handleEngineDemand(event.link, message)
         is EntryToControl.EntryStatus -> updateStatus(event.link, message)
@@ -71,6 +73,7 @@
             openedAt,
             heldVersion = hello.appliedVersion,
             relayAddress = hello.relayAddress,
+            readsSoftware = hello.readsSoftware,
             reportedAt = now,
         )
     state =
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -58,6 +58,7 @@
     val enginesPlannedAt: Long? = null,
     /** Null on deployments that do not read the reports of engines. */
     val engineReadings: EngineReadings? = null,
+    val streams: StreamOrigins = StreamOrigins(),
 ) {
     /** The decision on slow engines. Without reports it is not followed, because it would never be taken back. */
     val slowEngines: Map<String, Double>
@@ -145,6 +146,7 @@
     val statusAt: Long = 0,
     val behindSince: Long? = null,
     val relayAddress: String = "",
+    val readsSoftware: Boolean = false,
     val reportedAt: Long = openedAt,
 )
 
--- /dev/null
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StreamOrigins.kt
@@ -0,0 +1,55 @@
+package hawthorncrank.control.internal
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/**
+ * Which version of the upstreams' software began each recent stream, as entries or other replicas reported, and when each
+ * version of a service was last listed. [recent] and [older] are generations, so that old streams are dropped at once.
+ */
+internal data class StreamOrigins(
+    private val recent: PersistentMap<String, String> = persistentMapOf(),
+    private val older: PersistentMap<String, String> = persistentMapOf(),
+    private val turnedAt: Long = 0,
+    private val lastListed: PersistentMap<Pair<String, String>, Long> = persistentMapOf(),
+) {
+    fun softwareOf(stream: String): String? = recent[stream] ?: older[stream]
+
+    fun begun(
+        stream: String,
+        software: String,
+        now: Long,
+    ): StreamOrigins {
+        val turns = now - turnedAt >= STREAM_LIFETIME_MILLISECONDS || recent.size >= GENERATION_LIMIT
+        val current = if (turns) copy(recent = persistentMapOf(), older = recent, turnedAt = now) else this
+        return current.copy(recent = current.recent.put(stream, software))
+    }
+
+    /** [versions] are the services and the software of their upstreams, as the platform lists them now. */
+    fun listed(
+        versions: Set<Pair<String, String>>,
+        now: Long,
+    ): StreamOrigins {
+        val expired = lastListed.filterValues { now - it >= STREAM_LIFETIME_MILLISECONDS }.keys - versions
+        return copy(
+            lastListed =
+                expired
+                    .fold(
+                        lastListed,
+                    ) { map, key -> map.remove(key) }
+                    .putAll(
+                        versions.associateWith {
+                            now
+                        },
+                    ),
+        )
+    }
+
+    fun versionsOf(service: String): Int = lastListed.keys.count { it.first == service }
+}
+
+// Longer than callers wait for a stream, with the time in which they take it up again.
+internal const val STREAM_LIFETIME_MILLISECONDS = 60_000L
+
+// Streams of a minute at twice the planned rate.
+private const val GENERATION_LIMIT = 150_000
--- a/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamLists.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/UpstreamLists.kt
@@ -15,8 +15,11 @@
     state = state.copy(upstreamList = list)
     val age = list.readAt?.let { now - it } ?: return
     if (age > LONGEST_AGE_MILLISECONDS || list.sent.size > MAXIMUM_UPSTREAMS_SENT) return
-    val upstreams = list.sent.takeIf { message.heldRevision != list.revision }
-    send(link, ControlToEntry.UpstreamList(message.question, list.revision, age, upstreams))
+    val readsSoftware = state.entryLinks[link]?.readsSoftware == true
+    val revision = if (readsSoftware) list.revision else list.revisionWithoutSoftware
+    val upstreams = if (readsSoftware) list.sent else list.sentWithoutSoftware
+    val changed = upstreams.takeIf { message.heldRevision != revision }
+    send(link, ControlToEntry.UpstreamList(message.question, revision, age, changed))
 }
 
 /** Reads the list once per second while entries ask for it, one reading at a time. */
@@ -35,6 +38,7 @@
     if (event.askedAt != list.askedAt) return
     val ended = list.copy(reading = false)
     state = state.copy(upstreamList = event.upstreams?.let { ended.read(it, event.askedAt) } ?: ended)
+    event.upstreams?.let(::noteVersions)
 }
 
 private const val READ_INTERVAL_MILLISECONDS = 1_000L
--- a/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/internal/VirtualGroup.kt
@@ -175,6 +175,10 @@
                 if (node.name !in cut && effect.replica !in cut) {
                     queue += effect.replica to ControlEvent.Replica(ReplicaEvent.EnvelopeReceived(effect.envelope))
                 }
+            is ControlEffect.NotifyReplica ->
+                if (node.name !in cut && effect.replica !in cut) {
+                    queue += effect.replica to ControlEvent.StreamNoticed(effect.notice)
+                }
             is ControlEffect.SendToLink -> node.sent += effect.link to effect.message
             is ControlEffect.ReadUpstreamList -> node.readings += effect
             is ControlEffect.ReadEngineReport -> reportReadings += node.name to effect
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/CallerRequest.kt
@@ -23,6 +23,12 @@
     val sharedParts: List<String> = emptyList(),
     val configurationVersion: Long? = null,
     val relayed: Boolean = false,
+    val resumption: StreamResumption? = null,
+)
+
+/** The caller has events of the stream. [origin] identifies its attempt that brought the first one, if it says so. */
+data class StreamResumption(
+    val origin: String?,
 )
 
 /**
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryBehaviour.kt
@@ -19,6 +19,8 @@
     val listFromControl: Boolean = false,
     /** Whether the requests at an upstream that started or recovered are bounded until it answers as fast as others. */
     val warmUp: Boolean = false,
+    /** Whether a stream goes on only at upstreams with the version of software that began it. */
+    val separatesSoftware: Boolean = false,
     val scheduling: SchedulingPolicy = SchedulingPolicy(),
     val routing: RoutingPolicy = RoutingPolicy(),
 )
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -13,6 +13,7 @@
 import hawthorncrank.entry.core.internal.RequestsState
 import hawthorncrank.entry.core.internal.RetryBudget
 import hawthorncrank.entry.core.internal.StopState
+import hawthorncrank.entry.core.internal.StreamsState
 import hawthorncrank.entry.core.internal.SuspectsState
 import hawthorncrank.entry.core.internal.UsageState
 import hawthorncrank.entry.core.internal.ZoneState
@@ -43,6 +44,7 @@
     internal val usage: UsageState = UsageState(),
     internal val engineDemand: EngineDemandState = EngineDemandState(),
     internal val relays: RelayState = RelayState(),
+    internal val streams: StreamsState = StreamsState(),
     internal val reportedReady: Boolean = false,
     internal val statusSentAt: Long = 0,
     internal val measuredAt: Long = 0,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/Refusal.kt
@@ -66,6 +66,14 @@
         override val remedy = "send the request to another entry"
     }
 
+    data object StreamNotResumable : Refusal {
+        override val status = 503
+        override val outcome = StatedOutcome.NOT_RUN
+        override val retryAfterMilliseconds = 1_000L
+        override val problem = "no upstream is known to have the software version that began this stream"
+        override val remedy = "send the request without the last event to begin a new stream"
+    }
+
     data class NotPermitted(
         val className: String,
     ) : Refusal {
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptStart.kt
@@ -68,6 +68,7 @@
             suspect = !relayed && resume == null && state.suspects.isSuspect(request.contentDigest, now),
             billedTo = active.billedTo.takeUnless { relayed },
             relayed = relayed,
+            software = state.streams.software[destination.name],
         )
     state = state.copy(attempts = AttemptsState(state.attempts.running.put(number, attempt), number + 1))
     val started =
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -26,7 +26,8 @@
     state = state.copy(router = state.router.firstTokenReceived(attempt.requestNumber, now))
     val active = currentRequest(attempt) ?: return staleFirstByte(attempt)
     if (!failed) contentsBegan(active.request)
-    update(active.copy(firstByteAt = active.firstByteAt ?: now))
+    val began = active.copy(firstByteAt = active.firstByteAt ?: now)
+    update(if (failed) began else streamBegan(began, attempt))
     updateProgress(attempt, active)
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/AttemptsState.kt
@@ -16,7 +16,7 @@
  * [suspect] is set if the content was suspected of crashing engines when the attempt started; it then shares its engine
  * with no other suspect. [billedTo] is the organisation for which the request counts in usage reports, if any. A [cancelled]
  * attempt still counts as running on its upstream until its end is reported. The [upstream] of a [relayed] attempt is
- * another entry, which counts the work on its upstreams.
+ * another entry, which counts the work on its upstreams. [software] is the version of the upstream's software.
  */
 internal data class RunningAttempt(
     val number: Long,
@@ -33,6 +33,7 @@
     val bytes: Long = 0,
     val cancelled: Cancellation? = null,
     val relayed: Boolean = false,
+    val software: String? = null,
 )
 
 /** Request content and the upstream that it runs on or is about to run on. */
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/ConfigurationStaging.kt
@@ -59,6 +59,7 @@
             settings.availabilityZone,
             version,
             settings.relayAddress.orEmpty(),
+            readsSoftware = settings.behaviour.separatesSoftware,
         )
     emit(EntryEffect.SendToControl(hello))
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Placements.kt
@@ -23,7 +23,7 @@
 internal fun Reduction.enqueue(active: ActiveRequest) {
     val waiting = active.copy(phase = RequestPhase.Queued)
     update(waiting)
-    if (relayIfCutOff(waiting)) return
+    if (traceStream(waiting) || refuseWithoutVersion(waiting) || relayIfCutOff(waiting)) return
     if (state.scheduler.view.inFlightOf(active.number) != null) {
         state = state.copy(scheduler = state.scheduler.requeue(active.number, now))
         return
@@ -91,12 +91,13 @@
     val candidates =
         state.configuration.effective.upstreams
             .filter { serves(it, active.request.target) }
-    val forbidden =
+    val unsafe =
         if (restricted) {
             candidates.map { it.name }.filterNot { contentMayRunOn(digest, it, running) }.toSet()
         } else {
             emptySet()
         }
+    val forbidden = unsafe + ofOtherVersion(active, candidates)
     // The upstream that failed last is used only if no other one is available.
     val failed = setOfNotNull(active.lastUpstream)
     val others = candidates.any { it.name !in forbidden + failed && mayGetWork(it) }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/RequestsState.kt
@@ -19,7 +19,8 @@
  * where the next attempt resumes the stream. [unreached] counts attempts that did not reach their upstream, and
  * [unreachedTime] the milliseconds that they took. [lastUpstream] is
  * the one that failed last, and [upstream] the one to which the request was sent last. [addresses] are those to which it
- * was sent so far. [relaysRefused] counts entries that could not relay the request.
+ * was sent so far. [relaysRefused] counts entries that could not relay the request. [software]
+ * is the version that began the stream, and [traced] tells that control was asked for it.
  */
 internal data class ActiveRequest(
     val request: CallerRequest,
@@ -41,6 +42,8 @@
     val unreachedTime: Long = 0,
     val reason: String? = null,
     val relaysRefused: Int = 0,
+    val software: String? = null,
+    val traced: Boolean = false,
 ) {
     val number: Long
         get() = request.number
@@ -59,6 +62,12 @@
 
     data object Queued : RequestPhase
 
+    /** Control is asked which version of software began the stream [origin]. */
+    data class Tracing(
+        val origin: String,
+        val since: Long,
+    ) : RequestPhase
+
     data class Running(
         val attemptNumber: Long,
     ) : RequestPhase
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/UpstreamLists.kt
@@ -46,10 +46,12 @@
 ) {
     membership { it.copy(listedAt = readAt) }
     if (state.membership.live != null && listed == state.membership.listed) return
+    val before = state.membership.listed
     membership { it.copy(listed = listed.toPersistentList()) }
     if (settings.behaviour.listFromControl) listSource { it.copy(revision = listed.revision()) }
     upstreamsChanged()
     updateSlowdowns()
+    updateSoftware(before)
     val leaving = listed.filter { it.leaving }.map { it.name }
     membershipReported(listed.map { it.name }.toSet(), leaving.toSet())
 }
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/RoutedScenario.kt
@@ -22,6 +22,7 @@
     warmUp: Boolean = false,
     scaling: EngineScaling? = null,
     relayAddress: String? = null,
+    separatesSoftware: Boolean = false,
 ) {
     private val settings =
         EntrySettings(
@@ -40,6 +41,7 @@
                     connectFailuresToExclude = 1,
                     listFromControl = listFromControl,
                     warmUp = warmUp,
+                    separatesSoftware = separatesSoftware,
                     scheduling = SchedulingPolicy(preemption = false, floor = false),
                     routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
                 ),
@@ -107,9 +109,10 @@
         promptTokens: Int = 20,
         className: String = "quick",
         relayed: Boolean = false,
+        resumption: StreamResumption? = null,
     ): List<EntryEffect> {
         val target = RequestTarget.Model("model", promptTokens, 20, emptyList())
-        return arrive(number, target, policy, streamed = true, finishBy, sharedParts, className, relayed)
+        return arrive(number, target, policy, streamed = true, finishBy, sharedParts, className, relayed, resumption)
     }
 
     private fun arrive(
@@ -121,6 +124,7 @@
         sharedParts: List<String> = emptyList(),
         className: String = "quick",
         relayed: Boolean = false,
+        resumption: StreamResumption? = null,
     ): List<EntryEffect> {
         val request =
             CallerRequest(
@@ -136,6 +140,7 @@
                 retryPolicy = policy,
                 sharedParts = sharedParts,
                 relayed = relayed,
+                resumption = resumption,
             )
         return send(EntryEvent.RequestArrived(request))
     }
@@ -156,7 +161,8 @@
 internal fun listedEngine(
     name: String,
     leaving: Boolean = false,
-) = ListedUpstream(name, "model", "127.0.0.1:1", "zone", slots = 6, leaving)
+    software: String? = null,
+) = ListedUpstream(name, "model", "127.0.0.1:1", "zone", slots = 6, leaving, software = software)
 
 internal fun listedService(
     name: String,
--- a/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/Entry.kt
@@ -83,6 +83,7 @@
             brokenConnectionIsCrash = false,
             connectFailuresToExclude = 1,
             listFromControl = true,
+            separatesSoftware = settings.relayAddress != null,
             warmUp = settings.warmUp,
             scheduling = SchedulingPolicy(preemption = false, floor = false),
             routing = RoutingPolicy(choice = ChoiceRule.LEAST_DELAY, reservesFloors = false),
--- a/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/ExchangeProtocol.kt
@@ -19,7 +19,7 @@
     val announcesLeaving: (HttpHeaders) -> Boolean,
     val strippedHeaders: Set<String>,
     val refusalStatus: (status: Int, outcome: StatedOutcome) -> Int,
-    val writeRelayHeaders: (timeLeftMilliseconds: Long?, lastEventIdentifier: String?) -> List<Pair<String, String>>,
+    val writeRelayHeaders: (timeLeftMilliseconds: Long?, resumed: ResumedStream?) -> List<Pair<String, String>>,
     val formatRetryAfter: (milliseconds: Long) -> String,
 )
 
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -3,11 +3,13 @@
 import hawthorncrank.entry.CallerHeaders
 import hawthorncrank.entry.ExchangeProtocol
 import hawthorncrank.entry.PromptPart
+import hawthorncrank.entry.ResumedStream
 import hawthorncrank.entry.UpstreamCall
 import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.CallerRequest
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.RetryPolicy
+import hawthorncrank.entry.core.StreamResumption
 import hawthorncrank.protocol.ANONYMOUS_ORGANISATION
 import hawthorncrank.protocol.Repetition
 import hawthorncrank.protocol.RequestRoute
@@ -52,6 +54,12 @@
             sharedParts = caller.promptParts.dropLast(1).map { it.identifier.toULong().toString(HEXADECIMAL) },
             configurationVersion = view.version,
             relayed = received.relayed,
+            resumption =
+                caller.lastEventIdentifier?.takeIf { route.streamed }?.let {
+                    StreamResumption(
+                        caller.resumes,
+                    )
+                },
         )
     }
 
@@ -126,13 +134,16 @@
             body = { _, _ -> received.body },
         )
 
+    /** The part of the stream that the caller has, up to [lastEventIdentifier] if events of this answer reached it. */
+    private fun resumed(lastEventIdentifier: String?): ResumedStream? {
+        if (lastEventIdentifier != null) return ResumedStream(lastEventIdentifier, caller.resumes ?: caller.identifier)
+        return caller.lastEventIdentifier?.let { ResumedStream(it, caller.resumes) }
+    }
+
     private fun relayFormat(): ExchangeFormat =
         ExchangeFormat(
             attemptHeaders = { attempt, lastEventIdentifier ->
-                protocol.writeRelayHeaders(
-                    attempt.deadlineMilliseconds,
-                    lastEventIdentifier ?: caller.lastEventIdentifier,
-                )
+                protocol.writeRelayHeaders(attempt.deadlineMilliseconds, resumed(lastEventIdentifier))
             },
             classifyReply = { status, _ ->
                 if (status ==
--- a/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
+++ b/entry/src/test/kotlin/hawthorncrank/entry/internal/RoutedEntryFixture.kt
@@ -87,10 +87,10 @@
             announcesLeaving = { headers -> headers.contains(LEAVING_HEADER) },
             strippedHeaders = emptySet(),
             refusalStatus = { status, _ -> status },
-            writeRelayHeaders = { timeLeft, lastEvent ->
+            writeRelayHeaders = { timeLeft, resumed ->
                 listOfNotNull(
                     timeLeft?.let { "test-time" to it.toString() },
-                    lastEvent?.let { LAST_EVENT_HEADER to it },
+                    resumed?.let { LAST_EVENT_HEADER to it.lastEventIdentifier },
                 )
             },
             formatRetryAfter = { "1" },
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ControlToEntry.kt
@@ -77,6 +77,17 @@
         val relays: List<Relay>,
     ) : ControlToEntry
 
+    /**
+     * Answers [EntryToControl.FindStream]. [software] is null if this replica does not know the stream. [ambiguous] then tells
+     * that several versions may have begun it.
+     */
+    @Serializable
+    data class StreamFound(
+        val stream: String,
+        val software: String?,
+        val ambiguous: Boolean,
+    ) : ControlToEntry
+
     /** All convictions in force; replaces those that the entry received from control before. */
     @Serializable
     data class ConvictionUpdate(
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/EntryToControl.kt
@@ -7,7 +7,8 @@
 sealed interface EntryToControl : WireMessage {
     /**
      * The first message on the link. [appliedVersion] is 0 for an entry that has no configuration. [relayAddress] is where
-     * the entry accepts requests from other entries, or empty.
+     * the entry accepts requests from other entries, or empty. [readsSoftware] is set by entries that can read the versions
+     * of software in the list of upstreams.
      */
     @Serializable
     data class EntryHello(
@@ -15,6 +16,21 @@
         val availabilityZone: String,
         val appliedVersion: Long,
         val relayAddress: String = "",
+        val readsSoftware: Boolean = false,
+    ) : EntryToControl
+
+    /** Reports that an upstream with this version of its software began a stream that callers may take up again. */
+    @Serializable
+    data class StreamBegan(
+        val stream: String,
+        val software: String,
+    ) : EntryToControl
+
+    /** Asks which version of the upstreams' software began a stream of [service]. */
+    @Serializable
+    data class FindStream(
+        val stream: String,
+        val service: String,
     ) : EntryToControl
 
     /** Asks for entries that may relay requests, because this entry cannot reach upstreams. */
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
@@ -8,7 +8,8 @@
 /**
  * An upstream as the platform lists it. [service] is the service that it runs. While [leaving] it gets no new work. The
  * platform may take a [reclaimable] one away. An engine that is slower than others of its service takes [slowdown] times as
- * long for the same work, as control replicas found; 1 if it does not, and null if the list does not tell.
+ * long for the same work, as control replicas found; 1 if it does not, and null if the list does not tell. [software] is the
+ * version of its software, or null if the list does not tell.
  */
 @Serializable
 data class ListedUpstream(
@@ -21,6 +22,7 @@
     val leaving: Boolean,
     val reclaimable: Boolean = false,
     val slowdown: Double? = null,
+    val software: String? = null,
 ) {
     /** The part of [revision] that describes this upstream, unchanged from builds that don't know the optional properties. */
     internal fun described(): String {
@@ -29,7 +31,8 @@
                 "slots=$slots, leaving=$leaving"
         val reclaimed = if (reclaimable) ", reclaimable=true" else ""
         val slowed = slowdown?.let { ", slowdown=$it" }.orEmpty()
-        return "$text$reclaimed$slowed)"
+        val versioned = software?.let { ", software=$it" }.orEmpty()
+        return "$text$reclaimed$slowed$versioned)"
     }
 }
 
--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ReplicaMessage.kt
@@ -59,6 +59,14 @@
     @SerialName("m") val message: ReplicaMessage,
 ) : WireMessage
 
+/** Tells another replica which version of the upstreams' software began a stream. */
+@Serializable
+@SerialName("stream")
+data class StreamNotice(
+    val stream: String,
+    val software: String,
+) : WireMessage
+
 @Serializable
 sealed interface ReplicaMessage {
     /** Marks messages that only the leader of the envelope's term sends. */
