--- a/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ProcessState.kt
@@ -132,7 +132,8 @@
 /**
  * A linked entry. [heldVersion] is the version that it holds or has been sent, [confirmedVersion] the version last sent
  * as confirmed, and [question] the number of its latest request to confirm the newest version, 0 before the first. An
- * entry of an older build does not ask for the group and cannot read it ([asksGroup]).
+ * entry of an older build does not ask for the group and cannot read it ([asksGroup]), nor the versions of software in the
+ * list of upstreams ([readsSoftware]). The entry's link was last [reportedAt] to the group.
  */
 internal data class EntryLink(
     val entry: String,
--- a/control/src/main/kotlin/hawthorncrank/control/internal/StreamOrigins.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StreamOrigins.kt
@@ -1,7 +1,9 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.protocol.ServiceVersion
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
 
 /**
  * Which version of the upstreams' software began each recent stream, as entries or other replicas reported, and when each
@@ -11,7 +13,7 @@
     private val recent: PersistentMap<String, String> = persistentMapOf(),
     private val older: PersistentMap<String, String> = persistentMapOf(),
     private val turnedAt: Long = 0,
-    private val lastListed: PersistentMap<Pair<String, String>, Long> = persistentMapOf(),
+    private val lastListed: PersistentMap<ServiceVersion, Long> = persistentMapOf(),
 ) {
     fun softwareOf(stream: String): String? = recent[stream] ?: older[stream]
 
@@ -25,27 +27,16 @@
         return current.copy(recent = current.recent.put(stream, software))
     }
 
-    /** [versions] are the services and the software of their upstreams, as the platform lists them now. */
+    /** Notes that the platform lists upstreams with these [versions] now. */
     fun listed(
-        versions: Set<Pair<String, String>>,
+        versions: Set<ServiceVersion>,
         now: Long,
     ): StreamOrigins {
-        val expired = lastListed.filterValues { now - it >= STREAM_LIFETIME_MILLISECONDS }.keys - versions
-        return copy(
-            lastListed =
-                expired
-                    .fold(
-                        lastListed,
-                    ) { map, key -> map.remove(key) }
-                    .putAll(
-                        versions.associateWith {
-                            now
-                        },
-                    ),
-        )
+        val kept = lastListed.filterValues { now - it < STREAM_LIFETIME_MILLISECONDS }
+        return copy(lastListed = (kept + versions.associateWith { now }).toPersistentMap())
     }
 
-    fun versionsOf(service: String): Int = lastListed.keys.count { it.first == service }
+    fun versionsOf(service: String): Int = lastListed.keys.count { it.service == service }
 }
 
 // Longer than callers wait for a stream, with the time in which they take it up again.
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Streams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Streams.kt
@@ -4,6 +4,7 @@
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.StreamNotice
+import hawthorncrank.protocol.serviceVersion
 
 /*
  * Replicas keep which version of the upstreams' software began each recent stream, so that any entry can take it up again.
@@ -25,7 +26,7 @@
     state = state.copy(streams = state.streams.begun(stream, software, now))
 }
 
-/** A replica that has just started does not know which versions were listed before. */
+/** Answers which version began a stream. A replica that has just started does not know which versions were listed before. */
 internal fun ControlStep.findStream(
     link: Long,
     question: EntryToControl.FindStream,
@@ -38,6 +39,6 @@
 }
 
 internal fun ControlStep.noteVersions(upstreams: List<ListedUpstream>) {
-    val versions = upstreams.mapNotNullTo(HashSet()) { upstream -> upstream.software?.let { upstream.service to it } }
+    val versions = upstreams.mapNotNullTo(HashSet()) { it.serviceVersion }
     if (versions.isNotEmpty()) state = state.copy(streams = state.streams.listed(versions, now))
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/EntryState.kt
@@ -9,6 +9,7 @@
 import hawthorncrank.entry.core.internal.EngineDemandState
 import hawthorncrank.entry.core.internal.Explanations
 import hawthorncrank.entry.core.internal.MembershipState
+import hawthorncrank.entry.core.internal.PartitionState
 import hawthorncrank.entry.core.internal.RelayState
 import hawthorncrank.entry.core.internal.RequestsState
 import hawthorncrank.entry.core.internal.RetryBudget
@@ -43,6 +44,7 @@
     internal val confirmation: ConfirmationState = ConfirmationState(),
     internal val usage: UsageState = UsageState(),
     internal val engineDemand: EngineDemandState = EngineDemandState(),
+    internal val partition: PartitionState = PartitionState(),
     internal val relays: RelayState = RelayState(),
     internal val streams: StreamsState = StreamsState(),
     internal val reportedReady: Boolean = false,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Attempts.kt
@@ -227,11 +227,8 @@
     state.requests.active[attempt.requestNumber]?.let { active ->
         recordAttempt(active, attempt, EntryDecisionEvent.ATTEMPT_CANCELLED, reason.name.lowercase())
     }
-    if (routed &&
-        !attempt.relayed
-    ) {
-        state = state.copy(router = state.router.attemptEnded(attempt.requestNumber, attempt.bytes))
-    }
+    val loadsUpstream = routed && !attempt.relayed
+    if (loadsUpstream) state = state.copy(router = state.router.attemptEnded(attempt.requestNumber, attempt.bytes))
     emit(EntryEffect.CancelAttempt(attemptNumber, reason))
 }
 
@@ -242,7 +239,7 @@
         .forEach { attemptEnded(it.number, AttemptEnd.Cancelled(it.tokens)) }
 }
 
-private fun Reduction.currentRequest(attempt: RunningAttempt): ActiveRequest? {
+internal fun Reduction.currentRequest(attempt: RunningAttempt): ActiveRequest? {
     val active = state.requests.active[attempt.requestNumber] ?: return null
     val current = attempt.cancelled == null && currentAttempt(active) == attempt.number
     return active.takeIf { current || !rules.staleAttemptsAreDiscarded }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/CrashEvidence.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/CrashEvidence.kt
@@ -57,7 +57,7 @@
     if (reachable) return
     connectFailed(upstream)
     // Behind a partition, upstreams that run are unreachable too.
-    if (state.relays.suspected) return
+    if (state.partition.suspected) return
     record(EntryDecisionEvent.UPSTREAM_CRASHED, "upstream" to upstream, "unanswered" to lost.size)
     val crash = ObservedCrash(upstream, now, lost)
     evidence { it.copy(unsent = (it.unsent.add(crash)).takeLast(UNSENT_LIMIT).toPersistentList()) }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Membership.kt
@@ -156,6 +156,7 @@
     if (observation.excluded == null) forgetFailures(name, observation)
 }
 
+/** Gives the upstream no work until a probe reaches it. The first probe starts after [firstProbe] milliseconds. */
 internal fun Reduction.exclude(
     name: String,
     reason: String,
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Partitions.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Partitions.kt
@@ -9,18 +9,18 @@
  */
 
 internal fun Reduction.heardFromUpstream() {
-    val ended = state.relays.suspected
-    relays { it.copy(heardAt = now, suspected = false) }
+    val ended = state.partition.suspected
+    state = state.copy(partition = PartitionState(heardAt = now))
     if (ended) record(EntryDecisionEvent.PARTITION_ENDED)
 }
 
 /** Excludes and probes all upstreams if none was heard from during a connection attempt that timed out. */
 internal fun Reduction.suspectPartition(connectStartedAt: Long) {
     if (settings.relayAddress == null || now - connectStartedAt < CONNECT_TIMEOUT_MILLISECONDS) return
-    val heardAt = state.relays.heardAt ?: Long.MIN_VALUE
-    if (heardAt >= connectStartedAt || state.relays.suspected) return
-    relays { it.copy(suspected = true) }
-    record(EntryDecisionEvent.PARTITION_SUSPECTED, "heard_before" to state.relays.heardAt?.let { now - it })
+    val heardAt = state.partition.heardAt
+    if (state.partition.suspected || heardAt != null && heardAt >= connectStartedAt) return
+    state = state.copy(partition = state.partition.copy(suspected = true))
+    record(EntryDecisionEvent.PARTITION_SUSPECTED, "heard_before" to heardAt?.let { now - it })
     state.configuration.effective.upstreams
         .filter(::isListed)
         .forEach { exclude(it.name, "no upstream is heard from", firstProbe = 0) }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Relays.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Relays.kt
@@ -50,7 +50,7 @@
 
 internal fun Reduction.relayBegan(attempt: RunningAttempt) {
     updateAttempt(attempt.copy(firstByteAt = attempt.firstByteAt ?: now))
-    val active = state.requests.active[attempt.requestNumber] ?: return
+    val active = currentRequest(attempt) ?: return
     update(active.copy(firstByteAt = active.firstByteAt ?: now))
 }
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
@@ -6,6 +6,7 @@
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ListedUpstream
 import hawthorncrank.protocol.Upstream
+import hawthorncrank.protocol.serviceVersion
 import kotlinx.collections.immutable.toPersistentMap
 
 /*
@@ -96,7 +97,7 @@
 /** Follows the list of upstreams. The list [before] was in force until now. */
 internal fun Reduction.updateSoftware(before: List<ListedUpstream>) {
     val listed = state.membership.listed
-    val versions = (before + listed).mapNotNull { item -> item.software?.let { ServiceVersion(item.service, it) } }
+    val versions = (before + listed).mapNotNull { it.serviceVersion }
     val recent = state.streams.lastListed.filterValues(::isRecent) + versions.associateWith { now }
     streams {
         it.copy(
@@ -126,7 +127,7 @@
         state.streams.lastListed
             .filterValues(::isRecent)
             .keys
-    val listed = state.membership.listed.mapNotNull { item -> item.software?.let { ServiceVersion(item.service, it) } }
+    val listed = state.membership.listed.mapNotNull { it.serviceVersion }
     val versions = (before + listed).count { it.service == service }
     val startedAt = state.configuration.startedAt ?: now
     return versions > 1 || versions == 1 && now - startedAt < STREAM_LIFETIME_MILLISECONDS
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/StreamsState.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/StreamsState.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.entry.core.internal
 
+import hawthorncrank.protocol.ServiceVersion
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
@@ -18,9 +19,4 @@
     val at: Long,
 )
 
-internal data class ServiceVersion(
-    val service: String,
-    val software: String,
-)
-
 private const val BEGUN_LIMIT = 4_000
--- a/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/EntryProgramSettings.kt
@@ -45,7 +45,10 @@
     @SerialName("stop_time")
     val stopTime: Milliseconds? = null,
     val heartbeat: Milliseconds? = null,
-    /** Where requests of other entries arrive, whose VMs cannot reach upstreams. Without it, none are relayed. */
+    /**
+     * Where requests of other entries arrive, whose VMs cannot reach upstreams. Without it, none are relayed, and streams go
+     * on at any software version. The control replicas must run a build that knows relays.
+     */
     @SerialName("relay_address")
     val relayAddress: String? = null,
     /** Whether upstreams that started or recovered get a bounded number of requests until they answer as fast as others. */
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReading.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReading.kt
@@ -5,7 +5,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import reactor.core.publisher.Mono
-import reactor.core.scheduler.Scheduler
 import reactor.netty.http.server.HttpServerRequest
 
 /** A caller that was admitted under the configuration [view]. */
