--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
@@ -39,10 +39,9 @@
         .forEach { (stream, begun) -> reportStream(stream, begun.software) }
 }
 
-/** Finds out which version began a stream that is to go on, and returns whether the request waits for that. */
+/** Finds out which version began a stream that is to go on, and queues it then. Returns false if nothing is to be found. */
 internal fun Reduction.traceStream(active: ActiveRequest): Boolean {
-    val continues = active.request.resumption != null || active.answerBegan && active.request.streamed
-    if (!settings.behaviour.separatesSoftware || !continues || active.software != null || active.traced) return false
+    if (!settings.behaviour.separatesSoftware || !needsTracing(active)) return false
     val origin = originOf(active)
     val known = origin?.let { state.streams.begun[it] }
     val traced = active.copy(traced = true, software = known?.software)
@@ -58,6 +57,11 @@
     return true
 }
 
+private fun needsTracing(active: ActiveRequest): Boolean {
+    val continues = active.request.resumption != null || active.answerBegan && active.request.streamed
+    return continues && active.software == null && !active.traced
+}
+
 internal fun Reduction.streamFound(message: ControlToEntry.StreamFound) =
     tracing().filter { (_, phase) -> phase.origin == message.stream }.forEach { (active, _) ->
         val software = message.software
