Let callers that name no first attempt take up streams at an entry that just started

Cause: an entry that does not know which versions were listed before its start took every unknown stream for ambiguous. These callers cannot name the attempt that began the stream, since they know no versions.

Change: what was listed before the start counts only for callers that name their first attempt. Versions that the entry has seen bind both.

Measured: the new case of StreamVersionsTest starts no attempt without the change.

--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
@@ -124,7 +124,11 @@
     refuse(active.copy(phase = RequestPhase.Queued), Refusal.StreamNotResumable)
 }
 
-/** Whether, as far as this entry knows, another version than the listed one may have begun the stream. */
+/**
+ * Whether, as far as this entry knows, another version than the listed one may have begun the stream. What was listed
+ * before this entry started counts only for callers that name the attempt with the first event: others are written for
+ * upstreams of one version.
+ */
 private fun Reduction.mayHaveOtherVersion(active: ActiveRequest): Boolean {
     val service = active.request.target.label
     val before =
@@ -134,7 +138,8 @@
     val listed = state.membership.listed.mapNotNull { it.serviceVersion }
     val versions = (before + listed).count { it.service == service }
     val startedAt = state.configuration.startedAt ?: now
-    return versions > 1 || versions == 1 && now - startedAt < STREAM_LIFETIME_MILLISECONDS
+    val unseen = originOf(active) != null && now - startedAt < STREAM_LIFETIME_MILLISECONDS
+    return versions > 1 || versions == 1 && unseen
 }
 
 private fun Reduction.isRecent(listedAt: Long): Boolean = now - listedAt < STREAM_LIFETIME_MILLISECONDS
--- a/entry-core/src/test/kotlin/hawthorncrank/entry/core/StreamVersionsTest.kt
+++ b/entry-core/src/test/kotlin/hawthorncrank/entry/core/StreamVersionsTest.kt
@@ -57,6 +57,12 @@
         assertEquals(1, single.pass(600).starts().size)
     }
 
+    @Test
+    fun `a caller that does not name its first attempt cannot take up a stream at an entry that has just started`() {
+        val single = RoutedScenario(new, separatesSoftware = true)
+        assertEquals(1, single.stream(10, RoutedScenario.RESUMABLE, resumption = StreamResumption(null)).starts().size)
+    }
+
     @Test
     fun `a stream is joined while control does not answer and versions change`() {
         resume(10)
