Create the relayed form of a request only when it is relayed

Every routed request built a second form with a copy of its headers, which only requests at an entry without upstreams need. The two forms share one function now, the refusal of a relay has its text in one place, and entries and replicas share the lifetime of a stream's version. No change of behaviour.

--- a/control/src/main/kotlin/hawthorncrank/control/internal/StreamOrigins.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/StreamOrigins.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.control.internal
 
+import hawthorncrank.protocol.STREAM_LIFETIME_MILLISECONDS
 import hawthorncrank.protocol.ServiceVersion
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
@@ -39,8 +40,5 @@
     fun versionsOf(service: String): Int = lastListed.keys.count { it.service == service }
 }
 
-// Longer than callers wait for a stream, with the time in which they take it up again.
-internal const val STREAM_LIFETIME_MILLISECONDS = 60_000L
-
 // Streams of a minute at twice the planned rate.
 private const val GENERATION_LIMIT = 150_000
--- a/control/src/main/kotlin/hawthorncrank/control/internal/Streams.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/Streams.kt
@@ -3,6 +3,7 @@
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ListedUpstream
+import hawthorncrank.protocol.STREAM_LIFETIME_MILLISECONDS
 import hawthorncrank.protocol.StreamNotice
 import hawthorncrank.protocol.serviceVersion
 
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/EntryDecisionEvent.kt
@@ -45,10 +45,10 @@
     REQUEST_RELAYED(1547, Level.INFO, "a request was sent to another entry, because no upstream can be reached"),
     PARTITION_SUSPECTED(1548, Level.WARN, "no upstream is heard from, and all are probed"),
     PARTITION_ENDED(1549, Level.INFO, "an upstream is heard from again"),
-    STREAM_VERSION_UNKNOWN(1556, Level.WARN, "a stream is not resumed, because the version that began it is not known"),
     STOP_REQUESTED(1550, Level.INFO, "the entry is stopping and finishes the requests in progress"),
     STOP_FINISHED(1551, Level.INFO, "no request is in flight and the entry terminates"),
     STOP_LEFT_RECORDS(1552, Level.ERROR, "the entry terminates with claim records that control has not acknowledged"),
+    STREAM_VERSION_UNKNOWN(1556, Level.WARN, "a stream is not resumed, because the version that began it is not known"),
     USAGE_WANTED(1560, Level.INFO, "the control replica asks for counts of requests"),
     TRUE_TIME_ESTIMATED(1561, Level.INFO, "true time is known again"),
 }
--- a/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
+++ b/entry-core/src/main/kotlin/hawthorncrank/entry/core/internal/Streams.kt
@@ -5,6 +5,7 @@
 import hawthorncrank.protocol.ControlToEntry
 import hawthorncrank.protocol.EntryToControl
 import hawthorncrank.protocol.ListedUpstream
+import hawthorncrank.protocol.STREAM_LIFETIME_MILLISECONDS
 import hawthorncrank.protocol.Upstream
 import hawthorncrank.protocol.serviceVersion
 import kotlinx.collections.immutable.toPersistentMap
@@ -164,8 +165,5 @@
     state = state.copy(streams = change(state.streams))
 }
 
-// Longer than callers wait for a stream, with the time in which they take it up again.
-private const val STREAM_LIFETIME_MILLISECONDS = 60_000L
-
 // Control answers within a round trip. A replica that is being replaced does not answer.
 private const val ANSWER_WAIT_MILLISECONDS = 500L
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/Rejection.kt
@@ -1,6 +1,7 @@
 package hawthorncrank.entry.internal
 
 import hawthorncrank.common.Failure
+import hawthorncrank.entry.core.Refusal
 
 /** Why a request is rejected before it reaches the control thread. A rejected request did not run. */
 internal sealed class Rejection(
@@ -88,9 +89,9 @@
     )
 
     data object CannotRelay : Rejection(
-        421,
-        "this entry cannot serve a relayed request now",
-        "send the request to another entry",
+        Refusal.CannotRelay.status,
+        Refusal.CannotRelay.problem,
+        Refusal.CannotRelay.remedy,
     )
 
     data object ConfigurationChanging : Rejection(
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RequestReader.kt
@@ -32,14 +32,16 @@
 }
 
 /**
- * A request in its forms: for the control thread's decisions, for sending to upstreams, and for sending to another entry,
- * if the API allows that.
+ * A request in its forms: for the control thread's decisions, for sending to upstreams, and for sending to another entry.
+ * The last is created when it is first needed, and null if the API does not allow it.
  */
 internal class ParsedRequest(
     val callerRequest: CallerRequest,
     val outgoing: OutgoingRequest,
-    val relayed: OutgoingRequest? = null,
-)
+    relayed: () -> OutgoingRequest? = { null },
+) {
+    val relayed: OutgoingRequest? by lazy(LazyThreadSafetyMode.NONE, relayed)
+}
 
 /** Validates a received request of the product's own API and converts it for the control thread. */
 internal class RequestReader(
--- a/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
+++ b/entry/src/main/kotlin/hawthorncrank/entry/internal/RoutedRequestReader.kt
@@ -7,6 +7,7 @@
 import hawthorncrank.entry.UpstreamCall
 import hawthorncrank.entry.UpstreamReply
 import hawthorncrank.entry.core.CallerRequest
+import hawthorncrank.entry.core.Refusal
 import hawthorncrank.entry.core.RequestTarget
 import hawthorncrank.entry.core.RetryPolicy
 import hawthorncrank.entry.core.StreamResumption
@@ -28,7 +29,7 @@
     fun read(
         received: ReceivedRequest,
         number: Long,
-    ): ParsedRequest = ParsedRequest(callerRequest(received, number), outgoing(received), relayed(received))
+    ): ParsedRequest = ParsedRequest(callerRequest(received, number), outgoing(received)) { relayed(received) }
 
     private fun callerRequest(
         received: ReceivedRequest,
@@ -54,15 +55,15 @@
             sharedParts = caller.promptParts.dropLast(1).map { it.identifier.toULong().toString(HEXADECIMAL) },
             configurationVersion = view.version,
             relayed = received.relayed,
-            resumption =
-                caller.lastEventIdentifier?.takeIf { route.streamed }?.let {
-                    StreamResumption(
-                        caller.resumes,
-                    )
-                },
+            resumption = resumption(),
         )
     }
 
+    private fun resumption(): StreamResumption? {
+        val continues = route.streamed && caller.lastEventIdentifier != null
+        return if (continues) StreamResumption(caller.resumes) else null
+    }
+
     private fun target(service: String): RequestTarget {
         val promptTokens = caller.promptTokens.coerceIn(0, MAXIMUM_PROMPT_TOKENS)
         return if (view.servesModels(service)) {
@@ -106,33 +107,29 @@
 
     private fun outgoing(received: ReceivedRequest): OutgoingRequest {
         val organisation = received.organisation.name.takeIf { it != ANONYMOUS_ORGANISATION }
-        val host = received.headers.get(HttpHeaderNames.HOST)
         val forwarded =
             outgoingHeaders(received.headers).filter { (name, _) -> name.lowercase() !in protocol.strippedHeaders }
-        return OutgoingRequest(
-            method = received.method,
-            uri = received.uri,
-            headers = forwarded + ("Host" to host),
-            idempotent = idempotent,
-            streamed = route.streamed,
-            format = exchangeFormat(organisation),
-            resumesAfter = caller.lastEventIdentifier,
-            body = { _, _ -> received.body },
-        )
+        return outgoing(received, forwarded, exchangeFormat(organisation))
     }
 
     /** The request as the caller sent it, including its key, for an entry that decides on it in place of this one. */
     private fun relayed(received: ReceivedRequest) =
-        OutgoingRequest(
-            method = received.method,
-            uri = received.uri,
-            headers = outgoingHeaders(received.headers) + ("Host" to received.headers.get(HttpHeaderNames.HOST)),
-            idempotent = idempotent,
-            streamed = route.streamed,
-            format = relayFormat(),
-            resumesAfter = caller.lastEventIdentifier,
-            body = { _, _ -> received.body },
-        )
+        outgoing(received, outgoingHeaders(received.headers), relayFormat())
+
+    private fun outgoing(
+        received: ReceivedRequest,
+        headers: List<Pair<String, String>>,
+        format: ExchangeFormat,
+    ) = OutgoingRequest(
+        method = received.method,
+        uri = received.uri,
+        headers = headers + ("Host" to received.headers.get(HttpHeaderNames.HOST)),
+        idempotent = idempotent,
+        streamed = route.streamed,
+        format = format,
+        resumesAfter = caller.lastEventIdentifier,
+        body = { _, _ -> received.body },
+    )
 
     /** The part of the stream that the caller has, up to [lastEventIdentifier] if events of this answer reached it. */
     private fun resumed(lastEventIdentifier: String?): ResumedStream? {
@@ -145,15 +142,7 @@
             attemptHeaders = { attempt, lastEventIdentifier ->
                 protocol.writeRelayHeaders(attempt.deadlineMilliseconds, resumed(lastEventIdentifier))
             },
-            classifyReply = { status, _ ->
-                if (status ==
-                    MISDIRECTED
-                ) {
-                    UpstreamReply.Misdirected
-                } else {
-                    UpstreamReply.Accepted
-                }
-            },
+            classifyReply = { status, _ -> relayReply(status) },
             announcesLeaving = { false },
             framing = StreamFraming.NumberedEvents,
             streamHeaders = ::forwardedHeaders,
@@ -161,6 +150,10 @@
             release = AnswerRelease.AT_ONCE,
         )
 
+    /** The other entry has decided on the request, so all that it answers is final but that it cannot serve it. */
+    private fun relayReply(status: Int): UpstreamReply =
+        if (status == Refusal.CannotRelay.status) UpstreamReply.Misdirected else UpstreamReply.Accepted
+
     private fun exchangeFormat(organisation: String?): ExchangeFormat =
         ExchangeFormat(
             attemptHeaders = { attempt, lastEventIdentifier ->
@@ -185,7 +178,6 @@
 
     private companion object {
         const val HEXADECIMAL = 16
-        const val MISDIRECTED = 421
         const val MAXIMUM_PROMPT_TOKENS = 10_000_000
 
         // Any odd factor keeps different chains distinct; the bits of this one are well distributed.
