--- a/review/6/ManyChanges.java
+++ b/review/7/ManyChanges.java
@@ -23,7 +23,7 @@
     static final AtomicInteger notServed = new AtomicInteger();
 
     public static void main(String[] arguments) {
-        Lab2.run("review/6", ManyChanges::test);
+        Lab2.run("review/7", ManyChanges::test);
     }
 
     static void test(Lab2 lab) throws Exception {
