--- a/review/8/UnreadableElement.java
+++ b/review/8/UnreadableElement.java
@@ -27,7 +27,7 @@
         }
         for (int i = 1; i <= 3; i++) lab.startControl(i, true);
         for (int i = 1; i <= 2; i++) lab.startEntry(i);
-        lab.configure(Lab2.document(7, Lab2.route("r-look", "/look/", "idempotent", 2_000, "plain", false)), 30_000);
+        lab.configure(document(7), 30_000);
         for (int i = 1; i <= 2; i++) lab.awaitReady(i, 20_000);
         lab.log("before: %.2f of the requests are served", served(traffic(lab, 3)));
 
@@ -37,9 +37,11 @@
         double before = served(traffic(lab, TRAFFIC_S));
         lab.log("with that element: %.2f of the requests are served", before);
         if (Lab2.trouble()) {
+            // The final fault strikes right after one more change was acknowledged.
+            lab.configure(document(8), 10_000);
             List<String> names = new ArrayList<>(lab.processes.keySet());
             for (String name : names) lab.signal(name, "KILL");
-            Lab2.sleep(500);
+            Lab2.sleep(1_200);
             for (int i = 1; i <= 3; i++) lab.startControl(i, false);
             for (int i = 1; i <= 2; i++) lab.startEntry(i, true);
         }
@@ -49,6 +51,10 @@
         lab.finish(before >= 0.25 && after < 0.25, String.format("%.2f of the requests served before, %.2f after", before, after));
     }
 
+    static String document(long version) {
+        return Lab2.document(version, Lab2.route("r-look", "/look/", "idempotent", 2_000 + version % 2, "plain", false));
+    }
+
     static double served(int[] counts) {
         return counts[0] / (double) Math.max(1, counts[0] + counts[1]);
     }
