--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
@@ -18,6 +18,12 @@
     val appliedIndex: Long
     val lastIndex: Long
 
+    /** The bytes of the log records in memory, those that the last snapshot already contains included. */
+    val logBytes: Long
+
+    /** The bytes of the last snapshot, 0 before the first. */
+    val snapshotBytes: Long
+
     /** The time of the last message from a leader that this replica followed, or of its start if there was none. */
     val leaderHeardAt: Long
 
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
@@ -60,6 +60,8 @@
     override val membership: Membership get() = memberships.last().membership
     override val appliedIndex: Long get() = committedIndex
     override val lastIndex: Long get() = log.lastIndex
+    override val logBytes: Long get() = log.bytes
+    override val snapshotBytes: Long get() = snapshot?.bytes?.size?.toLong() ?: 0
 
     override val role: ReplicaRole
         get() =
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaLog.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaLog.kt
@@ -5,11 +5,15 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 
-/** The log records in memory. Those up to [baseIndex] are only in the snapshot; [baseTerm] is the term there. */
+/**
+ * The log records in memory. Those up to [baseIndex] are only in the snapshot; [baseTerm] is the term there. [bytes] is
+ * the size of the records in the log files.
+ */
 internal data class ReplicaLog(
     val baseIndex: Long = 0,
     val baseTerm: Long = 0,
     val records: PersistentList<LogRecord> = persistentListOf(),
+    val bytes: Long = records.sumOf(::recordBytes),
 ) {
     val lastIndex: Long get() = baseIndex + records.size
     val lastTerm: Long get() = records.lastOrNull()?.term ?: baseTerm
@@ -29,10 +33,11 @@
         last: Long,
     ): List<LogRecord> = (first..last).map(::record)
 
-    fun append(more: List<LogRecord>): ReplicaLog = copy(records = records.addAll(more))
+    fun append(more: List<LogRecord>): ReplicaLog =
+        copy(records = records.addAll(more), bytes = bytes + more.sumOf(::recordBytes))
 
     fun truncate(fromIndex: Long): ReplicaLog =
-        if (fromIndex > lastIndex) this else copy(records = keep(0, fromIndex - baseIndex - 1))
+        if (fromIndex > lastIndex) this else ReplicaLog(baseIndex, baseTerm, keep(0, fromIndex - baseIndex - 1))
 
     fun compact(throughIndex: Long): ReplicaLog {
         val term = term(throughIndex)
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
@@ -46,7 +46,12 @@
             log = state.log.compact(snapshot.lastIndex - settings.recordsKeptBeforeSnapshot),
             memberships = state.memberships.drop(current).toPersistentList(),
         )
-    logEvent(ConsensusEvent.SNAPSHOT_SAVED, "index" to snapshot.lastIndex, "bytes" to snapshot.bytes.size)
+    logEvent(
+        ConsensusEvent.SNAPSHOT_SAVED,
+        "index" to snapshot.lastIndex,
+        "bytes" to snapshot.bytes.size,
+        "log_bytes" to state.log.bytes,
+    )
 }
 
 internal fun ReplicaStep.sendSnapshotChunk(progress: Progress) {
--- a/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
+++ b/control/src/main/kotlin/hawthorncrank/control/internal/ControlMetrics.kt
@@ -21,6 +21,8 @@
         gauge("committed_index") { it.replica.committedIndex }
         gauge("applied_index") { it.replica.appliedIndex }
         gauge("last_index") { it.replica.lastIndex }
+        gauge("log_bytes") { it.replica.logBytes }
+        gauge("snapshot_bytes") { it.replica.snapshotBytes }
         gauge("voters") { it.replica.membership.voters.size }
         gauge("waiting_replicas") { it.replica.waitingReplicas.size }
         gauge("awaits_admission") { if (it.replica.awaitsAdmission) 1 else 0 }
