Limit the log of a control replica in bytes

A heap histogram of a replica at the end shows 119.9 MB of byte arrays of a heap of 126 MB, and its log files have 109 MB. Waiting commands and messages on links were ruled out: the files hold nothing else.

The leader refuses commands while its log has 32 MiB or four times that interval, so a stalled disk does not fill the memory; they are proposed again until their deadline.

Formats of files and messages are the same.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaSettings.kt
@@ -15,8 +15,19 @@
      */
     val minimumRecordsBetweenSnapshots: Long = 1_000,
     val expectedRecordBytes: Long = 225,
-    /** Records before a snapshot that stay in memory, so that a follower slightly behind needs no snapshot. */
+    /** A snapshot is also taken after this many bytes of records, or as many as the last snapshot has if that is more. */
+    val logBytesBetweenSnapshots: Long = 4 shl 20,
+    /**
+     * Records before a snapshot that stay in memory, so that a follower slightly behind needs no snapshot: at most this
+     * many, with at most [logBytesKeptBeforeSnapshot] in total.
+     */
     val recordsKeptBeforeSnapshot: Long = 200,
+    val logBytesKeptBeforeSnapshot: Long = 2 shl 20,
+    /**
+     * The leader refuses commands while its log has more bytes than this and than four times those between snapshots.
+     * Otherwise it could run out of memory while no snapshot can be saved or no majority answers.
+     */
+    val maximumLogBytes: Long = 32 shl 20,
     val maximumRecordsPerMessage: Int = 256,
     val maximumBytesPerMessage: Int = 256 * 1_024,
     /** The maximum number of unanswered append messages with records to one follower. */
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/DefaultReplicaState.kt
@@ -20,6 +20,7 @@
  *
  * [contacts] are members of the group that this replica has heard of, by address; it asks them to be admitted. [waiting]
  * are the replicas that asked this member to be admitted, by name and in the order in which they first asked.
+ * [bytesSinceCapture] is the size of the records that were committed since the last snapshot was captured.
  * [groupWitnesses] are the seeds that have stored that this group exists. [leaving] holds the times at which voters said
  * that they are about to stop, by identity. [lastLeader] is the identity of the last leader that this replica followed.
  */
@@ -43,6 +44,7 @@
     val pendingAnswers: PersistentList<PendingAnswer> = persistentListOf(),
     val incoming: IncomingSnapshot? = null,
     val pendingCaptureIndex: Long? = null,
+    val bytesSinceCapture: Long = 0,
     val nextJoinRequestAt: Long = Long.MIN_VALUE,
     val formationClaims: PersistentMap<String, FormationClaim> = persistentMapOf(),
     val formationWithheld: Boolean = false,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Following.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Following.kt
@@ -54,7 +54,8 @@
 internal fun ReplicaStep.commit(index: Long) {
     if (index <= state.committedIndex) return
     val records: List<LogRecord> = state.log.range(state.committedIndex + 1, index)
-    state = state.copy(committedIndex = index)
+    val bytes = records.sumOf(::recordBytes)
+    state = state.copy(committedIndex = index, bytesSinceCapture = state.bytesSinceCapture + bytes)
     emit(ReplicaEffect.ApplyRecords(records))
     captureSnapshotWhenDue()
     answerCommitted(records)
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Phase.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Phase.kt
@@ -1,5 +1,6 @@
 package hawthorncrank.consensus.internal
 
+import hawthorncrank.consensus.ReplicaSnapshot
 import hawthorncrank.protocol.ReplicaMember
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -81,7 +82,10 @@
     val hasAnswered: Boolean = false,
 )
 
+/** A snapshot that is being sent to a follower, which has received the bytes before [offset]. */
 internal data class SnapshotTransfer(
-    val lastIndex: Long,
+    val snapshot: ReplicaSnapshot,
     val offset: Long = 0,
-)
+) {
+    val lastIndex: Long get() = snapshot.lastIndex
+}
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Requests.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Requests.kt
@@ -37,7 +37,8 @@
         else -> null
     }
 
-private fun ReplicaStep.isOverloaded() = state.lastIndex - state.committedIndex >= settings.maximumPendingRequests
+private fun ReplicaStep.isOverloaded() =
+    state.lastIndex - state.committedIndex >= settings.maximumPendingRequests || isLogFull()
 
 private fun ReplicaStep.trackForwarded(
     ticket: Long,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
@@ -1,6 +1,7 @@
 /*
- * Snapshots limit the size of the log. A follower that needs records that the leader's log no longer holds gets the
- * snapshot in chunks, one at a time. The leader resends a chunk with each heartbeat until it is answered.
+ * Snapshots limit the number and the bytes of the records in the log. A follower that needs records that the leader's
+ * log no longer holds gets the snapshot in chunks, one at a time. The leader resends a chunk with each heartbeat until
+ * it is answered. A transfer that has begun continues with its snapshot when the leader takes a newer one.
  */
 package hawthorncrank.consensus.internal
 
@@ -15,8 +16,9 @@
 
 internal fun ReplicaStep.captureSnapshotWhenDue() {
     val recordsSinceSnapshot = state.committedIndex - (state.snapshot?.lastIndex ?: 0)
-    if (state.pendingCaptureIndex != null || recordsSinceSnapshot < recordsBetweenSnapshots()) return
-    state = state.copy(pendingCaptureIndex = state.committedIndex)
+    val isDue = recordsSinceSnapshot >= recordsBetweenSnapshots() || state.bytesSinceCapture >= bytesBetweenSnapshots()
+    if (state.pendingCaptureIndex != null || !isDue) return
+    state = state.copy(pendingCaptureIndex = state.committedIndex, bytesSinceCapture = 0)
     emit(ReplicaEffect.CaptureSnapshot(state.committedIndex))
 }
 
@@ -24,10 +26,14 @@
  * A snapshot contains the whole state, so at a fixed interval a large state would be written for few records. Waiting
  * until the log is about as large as the last snapshot keeps the total bytes written within twice those of the records.
  */
-private fun ReplicaStep.recordsBetweenSnapshots(): Long {
-    val snapshotBytes = state.snapshot?.bytes?.size ?: 0
-    return maxOf(settings.minimumRecordsBetweenSnapshots, snapshotBytes / settings.expectedRecordBytes)
-}
+private fun ReplicaStep.recordsBetweenSnapshots(): Long =
+    maxOf(settings.minimumRecordsBetweenSnapshots, state.snapshotBytes / settings.expectedRecordBytes)
+
+private fun ReplicaStep.bytesBetweenSnapshots(): Long = maxOf(settings.logBytesBetweenSnapshots, state.snapshotBytes)
+
+/** Whether the log must be compacted before it may grow further. */
+internal fun ReplicaStep.isLogFull(): Boolean =
+    state.logBytes >= maxOf(settings.maximumLogBytes, SNAPSHOTS_IN_LOG_BYTES * bytesBetweenSnapshots())
 
 internal fun ReplicaStep.receiveCapturedSnapshot(event: ReplicaEvent.SnapshotCaptured) {
     val term = state.log.term(event.index)
@@ -43,7 +49,7 @@
     val current = state.memberships.indexOfLast { it.index <= snapshot.lastIndex }.coerceAtLeast(0)
     state =
         state.copy(
-            log = state.log.compact(snapshot.lastIndex - settings.recordsKeptBeforeSnapshot),
+            log = state.log.compact(compactionIndex(snapshot)),
             memberships = state.memberships.drop(current).toPersistentList(),
         )
     logEvent(
@@ -52,12 +58,25 @@
         "bytes" to snapshot.bytes.size,
         "log_bytes" to state.log.bytes,
     )
+    // Records that were committed meanwhile may have filled the log, which then grows no further by itself.
+    captureSnapshotWhenDue()
+}
+
+private fun ReplicaStep.compactionIndex(snapshot: ReplicaSnapshot): Long {
+    var index = snapshot.lastIndex
+    var keptBytes = 0L
+    while (index > state.log.baseIndex && snapshot.lastIndex - index < settings.recordsKeptBeforeSnapshot) {
+        keptBytes += recordBytes(state.log.record(index))
+        if (keptBytes > settings.logBytesKeptBeforeSnapshot) break
+        index--
+    }
+    return index
 }
 
 internal fun ReplicaStep.sendSnapshotChunk(progress: Progress) {
-    val snapshot = state.snapshot ?: return
-    val transfer =
-        progress.transfer?.takeIf { it.lastIndex == snapshot.lastIndex } ?: SnapshotTransfer(snapshot.lastIndex)
+    val newest = state.snapshot ?: return
+    val transfer = progress.transfer?.takeIf { it.offset > 0 } ?: SnapshotTransfer(newest)
+    val snapshot = transfer.snapshot
     val offset = transfer.offset.toInt()
     val end = minOf(snapshot.bytes.size, offset + settings.maximumBytesPerMessage)
     updateProgress(progress.member.identity) { it.copy(transfer = transfer, inFlight = it.inFlight.clear()) }
@@ -83,8 +102,7 @@
     confirmRounds()
     val progress = leading?.progress?.get(envelope.sender.identity) ?: return
     val transfer = progress.transfer ?: return
-    val size = state.snapshot?.bytes?.size ?: 0
-    if (answer.lastIndex != transfer.lastIndex || answer.nextOffset !in 0..size) return
+    if (answer.lastIndex != transfer.lastIndex || answer.nextOffset !in 0..transfer.snapshot.bytes.size) return
     updateProgress(envelope.sender.identity) { it.copy(transfer = transfer.copy(offset = answer.nextOffset)) }
     // A lower offset may be a late answer. Only heartbeats resend chunks, so that duplicates do not multiply.
     if (answer.nextOffset > transfer.offset) {
@@ -137,6 +155,7 @@
             syncedIndex = if (retain) state.syncedIndex else minOf(state.syncedIndex, chunk.lastIndex),
             incoming = null,
             pendingCaptureIndex = null,
+            bytesSinceCapture = 0,
         )
     if (!retain) limitDeferredSyncs(0)
     emit(ReplicaEffect.PersistSnapshot(nextToken(), snapshot, retain))
@@ -145,3 +164,5 @@
     logEvent(ConsensusEvent.SNAPSHOT_INSTALLED, "index" to chunk.lastIndex, "bytes" to bytes.size)
     answerAppliedTickets()
 }
+
+private const val SNAPSHOTS_IN_LOG_BYTES = 4
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistory.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/GeneratedHistory.kt
@@ -24,6 +24,9 @@
             it.copy(
                 minimumRecordsBetweenSnapshots = 40,
                 recordsKeptBeforeSnapshot = 10,
+                logBytesBetweenSnapshots = if (seed % 3 == 0L) 400 else it.logBytesBetweenSnapshots,
+                logBytesKeptBeforeSnapshot = if (seed % 3 == 0L) 100 else it.logBytesKeptBeforeSnapshot,
+                maximumLogBytes = if (seed % 3 == 0L) 2_000 else it.maximumLogBytes,
                 maximumRecordsPerMessage = 8,
                 maximumBytesPerMessage = 64,
                 maximumMessagesInFlight = 3,
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -27,6 +27,9 @@
     /** Until this time the disk refuses every write. The process ends at the first one and is started again. */
     var diskFullUntil = 0L
 
+    /** Until this time the disk completes no write, and the thread that also encodes snapshots waits for it. */
+    var diskStalledUntil = 0L
+
     /** Until this time the replica handles messages and requests but receives no ticks. */
     var timerStalledUntil = 0L
 }
@@ -233,7 +236,7 @@
         token: Long,
     ) {
         val incarnation = replica.incarnation
-        after(random.nextLong(1, if (slowPercent > 0) 40 else 3)) {
+        after(storageDelay(replica, random.nextLong(1, if (slowPercent > 0) 40 else 3))) {
             if (replica.incarnation == incarnation) {
                 replica.disk.sync(token)
                 deliver(replica.name, ReplicaEvent.StorageSynced(token))
@@ -290,11 +293,16 @@
     ) {
         val incarnation = replica.incarnation
         val bytes = replica.application.joinToString("\n").encodeToByteArray()
-        after(random.nextLong(1, 50)) {
+        after(storageDelay(replica, random.nextLong(1, 50))) {
             if (replica.incarnation == incarnation) deliver(replica.name, ReplicaEvent.SnapshotCaptured(index, bytes))
         }
     }
 
+    private fun storageDelay(
+        replica: SimulatedReplica,
+        delay: Long,
+    ): Long = maxOf(0, replica.diskStalledUntil - now) + delay
+
     private fun install(
         replica: SimulatedReplica,
         effect: ReplicaEffect.InstallSnapshot,
