Start control replicas on logs as large as their memory

Cause: a start reads the whole log into memory, and it cannot be compacted before a majority has told which records are committed.

Change: the records of log files of more than 16 MiB are compressed while they are read, and decompressed one at a time when they are applied or sent. Smaller logs, all that this build writes on its own included, are held as they were.

--- a/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/ReplicaState.kt
@@ -18,7 +18,7 @@
     val appliedIndex: Long
     val lastIndex: Long
 
-    /** The bytes of the log records in memory, those that the last snapshot already contains included. */
+    /** The bytes of the log records that are not compacted, as in the log files. Long logs are compressed in memory. */
     val logBytes: Long
 
     /** The bytes of the last snapshot, 0 before the first. */
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/FolderRecovery.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/FolderRecovery.kt
@@ -8,7 +8,6 @@
 import hawthorncrank.consensus.ReplicaSnapshot
 import hawthorncrank.consensus.StorageFailure
 import hawthorncrank.consensus.VoteState
-import hawthorncrank.protocol.LogRecord
 import java.nio.ByteBuffer
 import java.nio.file.Files
 import java.nio.file.Path
@@ -39,7 +38,7 @@
         corrupt(folder, "the log starts at record ${records.first().index} instead of $expected")
     }
     val segments = if (usable.isEmpty()) emptyList() else log.segments
-    return FolderRecovery(RecoveredReplica(identity, vote, snapshot, records, log.tailBytes), segments)
+    return FolderRecovery(RecoveredReplica(identity, vote, snapshot, HeldRecords(records), log.tailBytes), segments)
 }
 
 private fun readIdentity(folder: Path): String {
@@ -71,7 +70,7 @@
 
 private class RecoveredLog(
     val segments: List<LogSegment>,
-    val records: List<LogRecord>,
+    val records: List<HeldRecord>,
     val tailBytes: Long,
 ) {
     /** True after a crash between saving a snapshot and deleting a log that conflicts with it or ends before it. */
@@ -85,8 +84,9 @@
 private fun readLog(folder: Path): RecoveredLog {
     val files = filesOf(folder, SEGMENT_PREFIX)
     val segments = mutableListOf<LogSegment>()
-    val records = mutableListOf<LogRecord>()
+    val records = mutableListOf<HeldRecord>()
     var tailBytes = 0L
+    val hold = if (files.sumOf(Files::size) > UNCOMPRESSED_LOG_BYTES) HeldRecord::compressed else HeldRecord::of
     files.forEach { path ->
         val first = path.name.removePrefix(SEGMENT_PREFIX).toLongOrNull() ?: corrupt(path, "unknown name")
         if (records.isNotEmpty() && first != records.last().index + 1) corrupt(path, "does not follow the last segment")
@@ -99,13 +99,13 @@
             tailBytes = content.tailBytes
         }
         segments += segment
-        records += content.records
+        records += content.records.map(hold)
     }
     return RecoveredLog(segments, records, tailBytes)
 }
 
 /** The group is persisted after its first record, so a crash in between leaves that record without a group. */
-private fun isInterruptedFormation(records: List<LogRecord>): Boolean =
+private fun isInterruptedFormation(records: List<HeldRecord>): Boolean =
     records.size <= 1 && records.all { it.index == 1L && it.term == 0L }
 
 private fun discard(log: RecoveredLog) =
@@ -119,5 +119,10 @@
     detail: String,
 ): Nothing = throw StorageException(StorageFailure.Corrupt(path.toString(), detail))
 
+/**
+ * The records of a longer log are compressed in memory. Builds without a limit on the bytes of the log left logs as large
+ * as the heap, and they can't be compacted before a majority of the group runs.
+ */
+private const val UNCOMPRESSED_LOG_BYTES = 16L shl 20
 private const val IDENTITY_BYTES = 16
 private val IDENTITY_PATTERN = Regex("[0-9a-f]{32}")
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Following.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Following.kt
@@ -6,7 +6,6 @@
 package hawthorncrank.consensus.internal
 
 import hawthorncrank.consensus.ReplicaEffect
-import hawthorncrank.protocol.LogRecord
 import hawthorncrank.protocol.ReplicaEnvelope
 import hawthorncrank.protocol.ReplicaMessage
 
@@ -53,12 +52,13 @@
 /** Commits and applies every record up to [index] and answers the tickets that wait for these records. */
 internal fun ReplicaStep.commit(index: Long) {
     if (index <= state.committedIndex) return
-    val records: List<LogRecord> = state.log.range(state.committedIndex + 1, index)
-    val bytes = records.sumOf(::recordBytes)
+    val indexes = state.committedIndex + 1..index
+    val records = state.log.range(indexes)
+    val bytes = records.held.sumOf { it.bytes }
     state = state.copy(committedIndex = index, bytesSinceCapture = state.bytesSinceCapture + bytes)
     emit(ReplicaEffect.ApplyRecords(records))
     captureSnapshotWhenDue()
-    answerCommitted(records)
+    answerCommitted(indexes)
     answerAppliedTickets()
-    handleCommittedMemberships(records)
+    handleCommittedMemberships(indexes)
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/MembershipChanges.kt
@@ -136,8 +136,8 @@
         leader.copy(progress = progress.toPersistentMap())
     }
 
-internal fun ReplicaStep.handleCommittedMemberships(records: List<LogRecord>) {
-    if (records.none { it.kind == RecordKind.MEMBERSHIP }) return
+internal fun ReplicaStep.handleCommittedMemberships(indexes: LongRange) {
+    if (state.memberships.none { it.index in indexes }) return
     val membership = state.membership
     logEvent(
         ConsensusEvent.MEMBERSHIP_CHANGED,
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaLog.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaLog.kt
@@ -6,14 +6,14 @@
 import kotlinx.collections.immutable.toPersistentList
 
 /**
- * The log records in memory. Those up to [baseIndex] are only in the snapshot; [baseTerm] is the term there. [bytes] is
- * the size of the records in the log files.
+ * The log records after the snapshot, and some before it. Those up to [baseIndex] are only in the snapshot; [baseTerm] is
+ * the term there. [bytes] is the size of the records in the log files.
  */
 internal data class ReplicaLog(
     val baseIndex: Long = 0,
     val baseTerm: Long = 0,
-    val records: PersistentList<LogRecord> = persistentListOf(),
-    val bytes: Long = records.sumOf(::recordBytes),
+    val records: PersistentList<HeldRecord> = persistentListOf(),
+    val bytes: Long = records.sumOf { it.bytes },
 ) {
     val lastIndex: Long get() = baseIndex + records.size
     val lastTerm: Long get() = records.lastOrNull()?.term ?: baseTerm
@@ -23,18 +23,20 @@
         when {
             index == baseIndex -> baseTerm
             index < baseIndex || index > lastIndex -> null
-            else -> record(index).term
+            else -> held(index).term
         }
 
-    fun record(index: Long): LogRecord = records[(index - baseIndex - 1).toInt()]
+    fun held(index: Long): HeldRecord = records[(index - baseIndex - 1).toInt()]
 
-    fun range(
-        first: Long,
-        last: Long,
-    ): List<LogRecord> = (first..last).map(::record)
+    fun record(index: Long): LogRecord = held(index).record()
 
-    fun append(more: List<LogRecord>): ReplicaLog =
-        copy(records = records.addAll(more), bytes = bytes + more.sumOf(::recordBytes))
+    fun range(indexes: LongRange): HeldRecords =
+        HeldRecords(records.subList((indexes.first - baseIndex - 1).toInt(), (indexes.last - baseIndex).toInt()))
+
+    fun append(more: List<LogRecord>): ReplicaLog {
+        val added = held(more)
+        return copy(records = records.addAll(added), bytes = bytes + added.sumOf { it.bytes })
+    }
 
     fun truncate(fromIndex: Long): ReplicaLog =
         if (fromIndex > lastIndex) this else ReplicaLog(baseIndex, baseTerm, keep(0, fromIndex - baseIndex - 1))
@@ -48,5 +50,5 @@
     private fun keep(
         first: Long,
         last: Long,
-    ): PersistentList<LogRecord> = records.subList(first.toInt(), last.toInt()).toPersistentList()
+    ): PersistentList<HeldRecord> = records.subList(first.toInt(), last.toInt()).toPersistentList()
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -29,12 +29,13 @@
     val snapshot = recovered.snapshot
     // Records without a group are left over from a group formation that a crash interrupted, and are not valid.
     val records = if (recovered.vote.group == null) emptyList() else recovered.records
-    val log = ReplicaLog(snapshot?.lastIndex ?: 0, snapshot?.lastTerm ?: 0, records.toPersistentList())
+    val heldRecords = held(records).toPersistentList()
+    val log = ReplicaLog(snapshot?.lastIndex ?: 0, snapshot?.lastTerm ?: 0, heldRecords)
     val baseMembership = IndexedMembership(log.baseIndex, snapshot?.membership ?: Membership())
     val laterMemberships =
-        records
+        heldRecords
             .filter { it.kind == RecordKind.MEMBERSHIP }
-            .map { IndexedMembership(it.index, decodeMembership(it.payload)) }
+            .map { IndexedMembership(it.index, decodeMembership(it.record().payload)) }
     val random = Random(seed)
     val state =
         DefaultReplicaState(
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Requests.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Requests.kt
@@ -8,7 +8,6 @@
 import hawthorncrank.consensus.ReplicaEffect
 import hawthorncrank.consensus.ReplicaRefusal
 import hawthorncrank.consensus.TicketAnswer
-import hawthorncrank.protocol.LogRecord
 import hawthorncrank.protocol.RecordKind
 import hawthorncrank.protocol.ReplicaEnvelope
 import hawthorncrank.protocol.ReplicaMessage
@@ -98,19 +97,19 @@
 }
 
 /** Answers the commands that were proposed for these committed records. */
-internal fun ReplicaStep.answerCommitted(records: List<LogRecord>) {
+internal fun ReplicaStep.answerCommitted(indexes: LongRange) {
     val proposals = leading?.proposals ?: return
-    records.forEach { record ->
-        val origin = proposals[record.index] ?: return@forEach
-        updateLeading { it.copy(proposals = it.proposals.remove(record.index)) }
+    indexes.forEach { index ->
+        val origin = proposals[index] ?: return@forEach
+        updateLeading { it.copy(proposals = it.proposals.remove(index)) }
         when (origin) {
             is Origin.Local -> {
-                answer(origin.ticket, TicketAnswer.Committed(record.index))
+                answer(origin.ticket, TicketAnswer.Committed(index))
             }
 
             is Origin.Remote -> {
                 replicate(origin.member.identity, heartbeat = true)
-                send(origin.member, ReplicaMessage.ForwardedAnswer(origin.number, record.index, refused = false))
+                send(origin.member, ReplicaMessage.ForwardedAnswer(origin.number, index, refused = false))
             }
         }
     }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
@@ -66,7 +66,7 @@
     var index = snapshot.lastIndex
     var keptBytes = 0L
     while (index > state.log.baseIndex && snapshot.lastIndex - index < settings.recordsKeptBeforeSnapshot) {
-        keptBytes += recordBytes(state.log.record(index))
+        keptBytes += state.log.held(index).bytes
         if (keptBytes > settings.logBytesKeptBeforeSnapshot) break
         index--
     }
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/FileReplicaStorageTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/FileReplicaStorageTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import hawthorncrank.consensus.internal.HeldRecords
 import hawthorncrank.protocol.LogRecord
 import hawthorncrank.protocol.RecordKind
 import hawthorncrank.protocol.ReplicaMember
@@ -57,6 +58,22 @@
         storage.use { assertIs<StorageFailure.InUse>(failure()) }
     }
 
+    /** Fails if a replica cannot start on the log of a build that let it grow as large as the memory. */
+    @Test
+    fun `a log as large as the memory of a node takes less than half of it after a start`() {
+        val document = List(1_400) { """{"name":"r-x$it","path_prefix":"/p$it/","timeout_ms":2000}""" }.joinToString()
+        val records =
+            List(900) { LogRecord(it + 1L, 1, RecordKind.COMMAND, "$it: $document".encodeToByteArray()) }
+        val payloadBytes = records.sumOf { it.payload.size.toLong() }
+        assertTrue(payloadBytes > NODE_BYTES, "$payloadBytes")
+        write(records)
+        val recovered = reopened().records
+        val heldBytes = assertIs<HeldRecords>(recovered).held.sumOf { it.heldBytes }
+        println("log of $payloadBytes bytes held in $heldBytes")
+        assertTrue(heldBytes < NODE_BYTES / 2, "$heldBytes of $payloadBytes")
+        assertEquals(records, recovered)
+    }
+
     /** Fails if a restart reports an error for a record that a crash left incomplete, or accepts it as valid. */
     @Test
     fun `an incomplete last record of any length is removed`() {
@@ -208,3 +225,4 @@
 }
 
 private const val SEED = 20_260L
+private const val NODE_BYTES = 64_000_000L
