Name the parts of the readers of lists and logs apart

Read as a newcomer would: one class a file, a scan of a value is not called "value", and the function that makes held records is not called "held". The end of a damaged page is looked for in 4 KiB instead of 64 KiB, which bounds the time that a hostile writer's closing brackets can cost.

--- a/common/src/main/kotlin/hawthorncrank/common/JsonArrayMember.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/JsonArrayMember.kt
@@ -46,7 +46,7 @@
     do {
         val member = memberName(text, index + 1) ?: return null
         if (member.name == name && text.getOrNull(member.valueStart) == '[') return member.valueStart
-        val value = value(member.valueStart) as? ScannedValue.Valid ?: return null
+        val value = scanValue(member.valueStart) as? ScannedValue.Valid ?: return null
         before[member.name] = text.substring(value.start, value.end)
         index = value.next
     } while (text.getOrNull(index) == ',')
@@ -62,7 +62,7 @@
     text: String,
     start: Int,
 ): MemberName? {
-    val key = value(start) as? ScannedValue.Valid ?: return null
+    val key = scanValue(start) as? ScannedValue.Valid ?: return null
     if (text[key.start] != '"' || text.getOrNull(key.next) != ':') return null
     return MemberName(Json.decodeFromString<String>(text.substring(key.start, key.end)), skipWhitespace(key.next + 1))
 }
@@ -74,7 +74,7 @@
     before: Map<String, String>,
 ): JsonArrayMember? {
     val scan = JsonScan(text)
-    val array = scan.value(opening) as? ScannedValue.Valid ?: return null
+    val array = scan.scanValue(opening) as? ScannedValue.Valid ?: return null
     val after = scan.membersAfter(text, array.end) ?: return null
     val region = ElementScan(text, opening + 1, array.end - 1)
     region.run()
@@ -108,7 +108,7 @@
     var index = skipWhitespace(start)
     while (text.getOrNull(index) == ',') {
         val member = memberName(text, index + 1) ?: return null
-        val value = value(member.valueStart) as? ScannedValue.Valid ?: return null
+        val value = scanValue(member.valueStart) as? ScannedValue.Valid ?: return null
         members[member.name] = text.substring(value.start, value.end)
         index = value.next
     }
@@ -123,7 +123,7 @@
     private val end: Int,
 ) {
     private val scan = JsonScan(text, end)
-    private val mostCharacters = MOST_READINGS * (end - start) + LONGEST_END_CHARACTERS
+    private val mostCharacters = MOST_READINGS * (end - start)
     val elements = ArrayList<String>()
     val unreadable = ArrayList<String>()
 
@@ -132,7 +132,7 @@
         var index = start
         while (index <= end) {
             index =
-                when (val value = scan.value(index, insideArray = true)) {
+                when (val value = scan.scanValue(index, insideArray = true)) {
                     is ScannedValue.Valid -> {
                         elements += text.substring(value.start, value.end)
                         value.next + 1
@@ -151,7 +151,7 @@
         var comma = text.indexOf(',', from)
         while (comma in 0 until end && scan.charactersRead < mostCharacters) {
             val isObject = text.getOrNull(scan.skipWhitespace(comma + 1)) == '{'
-            if (isObject && scan.value(comma + 1, insideArray = true) is ScannedValue.Valid) return comma
+            if (isObject && scan.scanValue(comma + 1, insideArray = true) is ScannedValue.Valid) return comma
             comma = text.indexOf(',', comma + 1)
         }
         return null
@@ -173,8 +173,8 @@
     }
 }
 
-// The end of an object is looked for in this many characters only.
-private const val LONGEST_END_CHARACTERS = 1 shl 16
+// The end of a damaged object is looked for in this many characters only.
+private const val LONGEST_END_CHARACTERS = 1 shl 12
 
 // How often the text of an array may be read in search of the ends of its unreadable elements.
 private const val MOST_READINGS = 32L
--- a/common/src/main/kotlin/hawthorncrank/common/JsonScan.kt
+++ b/common/src/main/kotlin/hawthorncrank/common/JsonScan.kt
@@ -16,7 +16,7 @@
      * Reads the value that begins at [start] or after the white space there. Inside an array, the value is valid only if a
      * comma or the end of the array follows.
      */
-    fun value(
+    fun scanValue(
         start: Int,
         insideArray: Boolean = false,
     ): ScannedValue {
@@ -192,21 +192,3 @@
         val LITERAL = Regex("true|false|null|-?(0|[1-9][0-9]*)([.][0-9]+)?([eE][+-]?[0-9]+)?")
     }
 }
-
-/** The result of reading a value whose first character is at [start]. */
-internal sealed interface ScannedValue {
-    val start: Int
-
-    /** [end] is the index after the value, and [next] that of the first character after it that is not white space. */
-    class Valid(
-        override val start: Int,
-        val end: Int,
-        val next: Int,
-    ) : ScannedValue
-
-    /** The text is not a value. What belongs to it ends at [resumeAt] at the earliest. */
-    class Broken(
-        override val start: Int,
-        val resumeAt: Int,
-    ) : ScannedValue
-}
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/FolderRecovery.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/FolderRecovery.kt
@@ -86,7 +86,7 @@
     val segments = mutableListOf<LogSegment>()
     val records = mutableListOf<HeldRecord>()
     var tailBytes = 0L
-    val hold = if (files.sumOf(Files::size) > UNCOMPRESSED_LOG_BYTES) HeldRecord::compressed else HeldRecord::of
+    val toHeldRecord = if (files.sumOf(Files::size) > UNCOMPRESSED_LOG_BYTES) HeldRecord::compressed else HeldRecord::of
     files.forEach { path ->
         val first = path.name.removePrefix(SEGMENT_PREFIX).toLongOrNull() ?: corrupt(path, "unknown name")
         if (records.isNotEmpty() && first != records.last().index + 1) corrupt(path, "does not follow the last segment")
@@ -99,7 +99,7 @@
             tailBytes = content.tailBytes
         }
         segments += segment
-        records += content.records.map(hold)
+        records += content.records.map(toHeldRecord)
     }
     return RecoveredLog(segments, records, tailBytes)
 }
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/HeldRecord.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/HeldRecord.kt
@@ -60,15 +60,3 @@
         }
     }
 }
-
-/** A list of records that decompresses each one when it is read. */
-internal class HeldRecords(
-    val held: List<HeldRecord>,
-) : AbstractList<LogRecord>() {
-    override val size: Int get() = held.size
-
-    override fun get(index: Int): LogRecord = held[index].record()
-}
-
-internal fun held(records: List<LogRecord>): List<HeldRecord> =
-    if (records is HeldRecords) records.held else records.map(HeldRecord::of)
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaLog.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaLog.kt
@@ -34,7 +34,7 @@
         HeldRecords(records.subList((indexes.first - baseIndex - 1).toInt(), (indexes.last - baseIndex).toInt()))
 
     fun append(more: List<LogRecord>): ReplicaLog {
-        val added = held(more)
+        val added = heldRecordsOf(more)
         return copy(records = records.addAll(added), bytes = bytes + added.sumOf { it.bytes })
     }
 
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/ReplicaReduction.kt
@@ -29,7 +29,7 @@
     val snapshot = recovered.snapshot
     // Records without a group are left over from a group formation that a crash interrupted, and are not valid.
     val records = if (recovered.vote.group == null) emptyList() else recovered.records
-    val heldRecords = held(records).toPersistentList()
+    val heldRecords = heldRecordsOf(records).toPersistentList()
     val log = ReplicaLog(snapshot?.lastIndex ?: 0, snapshot?.lastTerm ?: 0, heldRecords)
     val baseMembership = IndexedMembership(log.baseIndex, snapshot?.membership ?: Membership())
     val laterMemberships =
--- a/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
+++ b/consensus/src/main/kotlin/hawthorncrank/consensus/internal/Snapshots.kt
@@ -33,7 +33,7 @@
 
 /** Whether the log must be compacted before it may grow further. */
 internal fun ReplicaStep.isLogFull(): Boolean =
-    state.logBytes >= maxOf(settings.maximumLogBytes, SNAPSHOTS_IN_LOG_BYTES * bytesBetweenSnapshots())
+    state.logBytes >= maxOf(settings.maximumLogBytes, INTERVALS_IN_FULL_LOG * bytesBetweenSnapshots())
 
 internal fun ReplicaStep.receiveCapturedSnapshot(event: ReplicaEvent.SnapshotCaptured) {
     val term = state.log.term(event.index)
@@ -165,4 +165,5 @@
     answerAppliedTickets()
 }
 
-private const val SNAPSHOTS_IN_LOG_BYTES = 4
+// A snapshot is due after one interval, so the log is this long only if it cannot be captured or saved.
+private const val INTERVALS_IN_FULL_LOG = 4
