Propose and await a command in one function of the simulated group

Six tests proposed a command and ran until it was committed, two of them new, each in two lines of its own. They call SimulatedGroup.commits now, with the same assertions and times; DiscoveryTest needs its tickets and stays. Expressions that the formatter had broken up in the new tests are written so that they need not be.

--- a/common/src/test/kotlin/hawthorncrank/common/JsonArrayMemberTest.kt
+++ b/common/src/test/kotlin/hawthorncrank/common/JsonArrayMemberTest.kt
@@ -130,9 +130,7 @@
     }
 
     private fun found(vararg elements: String?) =
-        elements(
-            "[${elements.filterNotNull().joinToString(",")}]",
-        ).filter { "\"id\"" in it && it.startsWith("{\"id\"") }
+        elements("[${elements.filterNotNull().joinToString(",")}]").filter { it.startsWith("{\"id\"") }
 
     private fun element(number: Int) =
         """{"id":"i-$number","labels":["a",{"b":"c"}],"models":[{"name":"m","of":[]}],"slots":64,"state":"ready"}"""
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/EarlierBuildTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/EarlierBuildTest.kt
@@ -36,9 +36,10 @@
     private val membership = Membership(members)
     private val vote = VoteState("group-1", 3, "a-1")
     private val records =
-        List(
-            6,
-        ) { LogRecord(it + 1L, 1L + it / 3, RecordKind.entries[it % 3], ByteArray(40 * it) { byte -> byte.toByte() }) }
+        List(6) {
+            val payload = ByteArray(40 * it) { byte -> byte.toByte() }
+            LogRecord(it + 1L, 1L + it / 3, RecordKind.entries[it % 3], payload)
+        }
     private val snapshot = ReplicaSnapshot(4, 2, membership, ByteArray(300) { it.toByte() })
     private val messages =
         listOf(
@@ -65,11 +66,8 @@
         bytes: ByteArray,
     ) {
         val hex = HexFormat.of().formatHex(bytes)
-        System
-            .getProperty(
-                "hawthorncrank.record",
-            )?.let { return Files.writeString(Path.of(it, "$name.hex"), "$hex\n").let {} }
-        assertEquals(recorded(name), hex, name)
+        val target = System.getProperty("hawthorncrank.record")?.let { Path.of(it, "$name.hex") }
+        if (target == null) assertEquals(recorded(name), hex, name) else Files.writeString(target, "$hex\n")
     }
 
     private fun recorded(name: String): String =
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/FullDisksTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/FullDisksTest.kt
@@ -17,8 +17,7 @@
             machines.form()
             machines.live.shuffled(machines.random).forEach { fillDisk(machines, it) }
             assertTrue(machines.group.run(20_000, until = machines::isWhole), "seed $seed: ${machines.group.voters}")
-            val ticket = machines.group.propose(machines.group.leader!!.name)
-            val accepted = machines.group.run(5_000) { ticket in machines.group.checker.committedTickets }
+            val accepted = machines.group.commits(machines.group.leader!!.name, 5_000)
             assertTrue(accepted, "seed $seed: a change is refused although all machines run")
         }
     }
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/LogSizeTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/LogSizeTest.kt
@@ -29,11 +29,7 @@
             assertTrue(state.logBytes <= limit, "${state.logBytes} bytes in the log, limit $limit")
         }
         group.run(2_000)
-        val ticket = group.propose(leader.name)
-        assertTrue(
-            group.run(5_000, until = { ticket in group.checker.committedTickets }),
-            "no progress after the stall",
-        )
+        assertTrue(group.commits(leader.name, 5_000), "no progress after the stall")
     }
 
     /** Otherwise a full log whose committed records no snapshot covers yet would stay full. */
@@ -48,11 +44,7 @@
         }
         group.propose(leader.name, "x".repeat(2 * BETWEEN_SNAPSHOTS.toInt()))
         group.run(15_000)
-        val ticket = group.propose(leader.name)
-        assertTrue(
-            group.run(5_000, until = { ticket in group.checker.committedTickets }),
-            "no progress after the stall",
-        )
+        assertTrue(group.commits(leader.name, 5_000), "no progress after the stall")
     }
 
     /** Otherwise a follower that was away never catches up while the leader takes snapshots faster than it sends one. */
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/ReplacedMachineTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/ReplacedMachineTest.kt
@@ -110,8 +110,7 @@
     }
 
     private fun assertProgress(machines: DiscoveredGroup) {
-        val ticket = machines.group.propose(machines.group.leader!!.name)
-        assertTrue(machines.group.run(5_000) { ticket in machines.group.checker.committedTickets })
+        assertTrue(machines.group.commits(machines.group.leader!!.name, 5_000))
     }
 }
 
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/ReplicaScenarioTest.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/ReplicaScenarioTest.kt
@@ -94,8 +94,7 @@
         assertTrue(group.run(30_000, until = replaced))
         group.loseDisk(second)
         assertTrue(group.run(30_000, until = { group.leader != null && group.leader?.name != second }))
-        val ticket = group.propose(group.leader!!.name)
-        assertTrue(group.run(10_000, until = { ticket in group.checker.committedTickets }))
+        assertTrue(group.commits(group.leader!!.name, 10_000))
         group.start(second)
         group.awaitHealthy()
         assertEquals(
@@ -159,8 +158,7 @@
         assertTrue(group.run(20_000, until = { group.leader != null && group.leader?.name != leader }))
         assertIs<TicketAnswer.Committed>(answers[-3])
         assertFalse(group.voters.any { it.name == leader })
-        val ticket = group.propose(group.leader!!.name)
-        assertTrue(group.run(5_000, until = { ticket in group.checker.committedTickets }))
+        assertTrue(group.commits(group.leader!!.name, 5_000))
     }
 
     /** Fails if a frame exceeds 1 MiB, or if a follower that is far behind cannot catch up. */
--- a/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
+++ b/consensus/src/test/kotlin/hawthorncrank/consensus/SimulatedGroup.kt
@@ -187,6 +187,15 @@
         return ticket
     }
 
+    /** Proposes a command and returns whether it is committed within [duration] milliseconds. */
+    fun commits(
+        name: String,
+        duration: Long,
+    ): Boolean {
+        val ticket = propose(name)
+        return run(duration, until = { ticket in checker.committedTickets })
+    }
+
     fun read(name: String) {
         checker.readRequested(++tickets)
         deliver(name, ReplicaEvent.RequestRead(tickets))
--- a/control/src/test/kotlin/hawthorncrank/control/EarlierBuildTest.kt
+++ b/control/src/test/kotlin/hawthorncrank/control/EarlierBuildTest.kt
@@ -36,11 +36,8 @@
         bytes: ByteArray,
     ) {
         val hex = HexFormat.of().formatHex(bytes)
-        System
-            .getProperty(
-                "hawthorncrank.record",
-            )?.let { return Files.writeString(Path.of(it, "$name.hex"), "$hex\n").let {} }
-        assertEquals(recorded(name), hex, name)
+        val target = System.getProperty("hawthorncrank.record")?.let { Path.of(it, "$name.hex") }
+        if (target == null) assertEquals(recorded(name), hex, name) else Files.writeString(target, "$hex\n")
     }
 
     private fun recorded(name: String): String =
