--- a/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
+++ b/protocol/src/main/kotlin/hawthorncrank/protocol/ListedUpstream.kt
@@ -36,16 +36,6 @@
     }
 }
 
-/**
- * Adds the upstreams of the [previous] reading that are missing in this one, in which some elements could not be read: theirs
- * may be among them. An upstream whose address another one has now is not added.
- */
-fun List<ListedUpstream>.withHidden(previous: List<ListedUpstream>): List<ListedUpstream> {
-    val names = mapTo(HashSet()) { it.name }
-    val addresses = mapTo(HashSet()) { it.address }
-    return this + previous.filter { it.name !in names && it.address !in addresses }
-}
-
 /** A number that is the same for equal lists on all machines, and otherwise differs but for a negligible chance. */
 fun List<ListedUpstream>.revision(): Long {
     val digest = MessageDigest.getInstance("SHA-256")
